--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -8,6 +8,7 @@
 package agent
 
 import (
+	"math"
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
@@ -30,6 +31,12 @@
 	// claims it, per accepted dispatch. More of them shorten the answers of jobs
 	// that meet a full fleet. Zero means defaultGrantsPerDispatch.
 	GrantsPerDispatch float64
+	// OrphanAfter is the age from which on the newest agent clock that an entry has
+	// repeated says nothing any more: its tasks under a lease are then stopped.
+	// Zero means defaultOrphanAfter.
+	OrphanAfter time.Duration
+	// LeaseTail is how long after the last renewal something may still run.
+	LeaseTail time.Duration
 	// Epoch is the zero of the agent's clock that dispatches refer to.
 	Epoch time.Time
 }
@@ -38,6 +45,17 @@
 // neither side keeps a link that the other has given up.
 const defaultEntrySilence = 10 * time.Second
 
+const (
+	// defaultOrphanAfter is shorter than the time after which a caller whose entry
+	// is gone sends its job again, by what stopping the tasks takes.
+	defaultOrphanAfter = 900 * time.Millisecond
+	// reportPause is the shortest time between two reports of changed room to an
+	// entry, apart from those that travel with other messages.
+	reportPause = 20 * time.Millisecond
+	// roomGrain is the smallest change of a worker's cores that is reported.
+	roomGrain = 0.5
+)
+
 // pauseLimit is the gap between ticks from which on the agent itself counts as
 // paused, so that the silence of entries in the gap proves nothing. Ticks come
 // every few tens of milliseconds.
@@ -57,6 +75,8 @@
 	expiries expiryHeap
 	running  int
 	done     int
+	// used is the sum of the sizes of running attempts.
+	used msg.Size
 	// reports numbers the slot reports.
 	reports uint64
 	// grantBudget is the number of SlotsFree messages that may be sent.
@@ -74,6 +94,9 @@
 	if cfg.GrantsPerDispatch <= 0 {
 		cfg.GrantsPerDispatch = defaultGrantsPerDispatch
 	}
+	if cfg.OrphanAfter <= 0 {
+		cfg.OrphanAfter = defaultOrphanAfter
+	}
 	return &Core{
 		cfg: cfg, now: cfg.Epoch, entries: newEntrySet(), grantBudget: grantReserve,
 		attempts: make(map[msg.AttemptID]*attempt),
@@ -92,12 +115,20 @@
 
 // Free returns the number of slots that accept an attempt now.
 func (c *Core) Free() int {
-	if c.stopping || !c.endpoint.accepts() {
+	if c.stopping || c.endpoint.leased || !c.endpoint.accepts() {
 		return 0
 	}
 	return max(0, c.endpoint.capacity()-c.running-c.endpoint.taken())
 }
 
+// Room returns what is free at a leased worker.
+func (c *Core) Room() msg.Size {
+	if c.stopping || !c.endpoint.leased || !c.endpoint.accepts() {
+		return msg.Size{}
+	}
+	return c.endpoint.size.Minus(c.used)
+}
+
 // Running returns the number of attempts at the endpoint.
 func (c *Core) Running() int { return c.running }
 
@@ -128,6 +159,8 @@
 		c.leave(now, in.Join)
 	case EndpointLost:
 		c.endpointLost(now)
+	case LeaseChanged:
+		c.leaseChanged(now, in)
 	case Stop:
 		c.stop(now)
 	case TaskEnded:
@@ -144,8 +177,9 @@
 	now = c.advance(now)
 	c.expire(now)
 	c.closeSilent(now)
+	c.stopOrphans(now)
 	for _, e := range c.entries.linked {
-		if now.Sub(e.lastSent) >= c.cfg.HeartbeatInterval {
+		if now.Sub(e.lastSent) >= c.cfg.HeartbeatInterval || c.roomNews(now, e) {
 			c.send(now, e, msg.Heartbeat{Report: c.report(e), Revision: c.revision})
 		}
 	}
@@ -166,7 +200,8 @@
 func (c *Core) report(e *entryState) msg.Slots {
 	c.balanceGrants()
 	c.reports++
-	return msg.Slots{
+	e.toldRoom = c.Room()
+	return msg.Slots{Room: e.toldRoom,
 		Free: e.granted, Spare: max(0, c.Free()-e.granted-c.keptFrom(e)), Covers: e.seen, Number: c.reports,
 		FailedJobs: c.failed.count,
 	}
@@ -187,7 +222,26 @@
 		Size:          c.endpoint.size,
 		Revision:      c.revision,
 		Leaving:       c.stopping || !c.endpoint.accepts(),
+		ReleaseAfter:  c.releaseAfter(),
+		Labels:        c.endpoint.labels,
+		Settled:       c.endpoint.settled,
+	}
+}
+
+// releaseAfter returns msg.Hello.ReleaseAfter.
+func (c *Core) releaseAfter() time.Duration {
+	if !c.endpoint.leased {
+		return 0
+	}
+	return c.cfg.OrphanAfter + c.cfg.LeaseTail
+}
+
+// roomNews tells whether the entry should hear of room that has appeared or gone.
+func (c *Core) roomNews(now time.Time, e *entryState) bool {
+	if !c.endpoint.leased || now.Sub(e.lastSent) < reportPause {
+		return false
 	}
+	return math.Abs(c.Room().Cores-e.toldRoom.Cores) >= roomGrain
 }
 
 // sendHellos tells all entries what has changed at the endpoint.
--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -29,6 +29,9 @@
 	startBy time.Duration
 	expires time.Time
 	result  msg.Result
+	size    msg.Size
+	// stopping is set once the stop of a running attempt was asked for.
+	stopping bool
 }
 
 func (c *Core) receive(now time.Time, in Received) {
@@ -45,6 +48,9 @@
 		c.dispatch(now, e, m)
 	case msg.Revoke:
 		c.answerStates(now, e, m.Attempts, true)
+		if m.Stop {
+			c.stopRevoked(m.Attempts)
+		}
 	case msg.Query:
 		c.answerStates(now, e, m.Attempts, false)
 	case msg.Ack:
@@ -52,6 +58,7 @@
 	case msg.EntryHeartbeat:
 		c.acknowledge(e, m.Acks)
 		e.seen = max(e.seen, m.Seq)
+		e.vouched = max(e.vouched, m.Heard)
 		c.claimed(now, e, m.Claim)
 	case msg.TableUpdate:
 		if m.Revision > c.revision {
@@ -65,6 +72,7 @@
 		return
 	}
 	e.seen = max(e.seen, d.Seq)
+	e.vouched = max(e.vouched, d.Heard)
 	if known, ok := c.attempts[d.Attempt]; ok {
 		c.repeatedDispatch(now, e, d.Attempt, known)
 		return
@@ -77,23 +85,39 @@
 		c.send(now, e, msg.Refused{Attempt: d.Attempt, Reason: reason, Report: c.report(e)})
 		return
 	}
-	c.useGrant(e)
+	if !c.endpoint.leased {
+		c.useGrant(e)
+	}
 	e.running++
 	c.start(d)
 	c.claimed(now, e, d.Claim)
 }
 
 func (c *Core) start(d msg.Dispatch) {
-	c.attempts[d.Attempt] = &attempt{state: stateRunning, startBy: d.StartBy}
+	c.attempts[d.Attempt] = &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size}
 	c.running++
-	used, limit := c.running+c.endpoint.taken(), c.endpoint.capacity()
-	invariant.Check(used <= limit, invariant.SlotsInRange, "agent %s uses %d of %d slots", c.cfg.Worker, used, limit)
+	c.used = c.used.Plus(d.Size)
+	c.checkUse()
+	name := msg.StartName(c.cfg.Incarnation, d.Attempt)
+	if c.endpoint.leased {
+		name = d.TaskName
+	}
 	c.emit(Start{
-		Attempt: d.Attempt, Name: msg.StartName(c.cfg.Incarnation, d.Attempt),
+		Attempt: d.Attempt, Name: name, Leased: c.endpoint.leased,
 		Service: d.Service, Account: d.Account, Payload: d.Payload, RunLimit: d.RunLimit,
 	})
 }
 
+// checkUse checks that no more is used than the endpoint has.
+func (c *Core) checkUse() {
+	if c.endpoint.leased {
+		invariant.Check(c.used.Within(c.endpoint.size), invariant.SlotsInRange, "agent %s uses %v of %v", c.cfg.Worker, c.used, c.endpoint.size)
+		return
+	}
+	used, limit := c.running+c.endpoint.taken(), c.endpoint.capacity()
+	invariant.Check(used <= limit, invariant.SlotsInRange, "agent %s uses %d of %d slots", c.cfg.Worker, used, limit)
+}
+
 // repeatedDispatch answers a dispatch that has been answered before.
 func (c *Core) repeatedDispatch(now time.Time, e *entryState, id msg.AttemptID, known *attempt) {
 	switch known.state {
@@ -115,6 +139,8 @@
 		return verdict.WorkerLeaving
 	case d.Service != c.endpoint.service:
 		return verdict.WrongService
+	case c.endpoint.leased:
+		return c.leaseRefusal(now, d)
 	case c.Free() <= c.keptFrom(e):
 		return verdict.NoSlot
 	}
@@ -188,13 +214,16 @@
 	}
 	c.running--
 	c.done++
+	c.used = c.used.Minus(a.size)
 	a.state = stateDone
 	a.result = msg.Result{Attempt: in.Attempt, Kind: in.Kind, Payload: in.Payload, RunTime: in.RunTime}
 	switch in.Kind {
 	case msg.ResultEndpointFailed:
 		c.endpoint.abandon(in.Attempt)
 	case msg.ResultNotReached:
-		c.unreachable(now)
+		if !c.endpoint.leased {
+			c.unreachable(now)
+		}
 	}
 	if e := c.entries.byIncarnation[in.Attempt.Entry]; e != nil {
 		e.running--
--- a/internal/core/agent/endpoint.go
+++ b/internal/core/agent/endpoint.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"strings"
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
@@ -20,8 +21,12 @@
 	slots       int
 	connections int
 	size        msg.Size
-	join        uint64
-	number      uint64
+	labels      []string
+	// leased says that tasks run under a lease, of which ready and settled are the
+	// state that the driver has told with LeaseChanged.
+	leased, ready, settled bool
+	join                   uint64
+	number                 uint64
 	// held counts slots taken by tasks that an earlier agent process started.
 	held int
 	// abandoned holds attempts of this process that ended without a whole
@@ -30,7 +35,7 @@
 	abandoned map[msg.AttemptID]int
 }
 
-func (e *endpointState) accepts() bool { return e.present && !e.left }
+func (e *endpointState) accepts() bool { return e.present && !e.left && (!e.leased || e.ready) }
 
 func (e *endpointState) capacity() int { return min(e.slots, e.connections) }
 
@@ -56,10 +61,12 @@
 	service            string
 	slots, connections int
 	size               msg.Size
+	leased, settled    bool
+	labels             string
 }
 
 func (e *endpointState) visible() visible {
-	return visible{e.accepts(), e.service, e.slots, e.connections, e.size}
+	return visible{e.accepts(), e.service, e.slots, e.connections, e.size, e.leased, e.settled, strings.Join(e.labels, ",")}
 }
 
 // apply takes over an announcement that is not stale.
@@ -70,6 +77,7 @@
 	e.left = e.left || in.Leaving
 	e.present, e.join, e.number = true, in.Join, in.Number
 	e.service, e.slots, e.connections, e.size = in.Service, in.Slots, in.Connections, in.Size
+	e.leased, e.labels = in.Leased, in.Labels
 	e.applyRunning(self, in.Running)
 }
 
--- a/internal/core/agent/entries.go
+++ b/internal/core/agent/entries.go
@@ -24,6 +24,10 @@
 	claim     msg.Claim
 	// running is the number of its attempts at the endpoint.
 	running int
+	// vouched is the newest agent clock that the entry has repeated.
+	vouched time.Duration
+	// toldRoom is the room in the latest report to it.
+	toldRoom msg.Size
 	// seen is the largest Dispatch.Seq received.
 	seen uint64
 	// forgottenUntil is the largest StartBy of an attempt that ran and whose
@@ -178,6 +182,7 @@
 		c.emit(CloseLink{Entry: e.incarnation})
 	}
 	c.entries.retire(e)
+	c.stopAttempts(e)
 	for id, a := range c.attempts {
 		if id.Entry == e.incarnation && a.state == stateDone {
 			e.forget(a.startBy)
--- a/internal/core/agent/io.go
+++ b/internal/core/agent/io.go
@@ -42,6 +42,10 @@
 	// endpoint that announces itself after a leave sets it, so that a restarted
 	// agent learns of the leave.
 	Leaving bool
+	// Labels name the worker's kind and rack.
+	Labels []string
+	// Leased says that tasks run under a lease which the driver holds.
+	Leased bool
 	// Running lists the start names (msg.StartName) of the tasks at the endpoint.
 	Running []string
 }
@@ -50,6 +54,10 @@
 // that ends; zero means the present one.
 type EndpointLeaving struct{ Join uint64 }
 
+// LeaseChanged says how far the driver holds the lease of a leased worker: Ready
+// while starts may be sent, Settled once nothing of an earlier agent runs.
+type LeaseChanged struct{ Ready, Settled bool }
+
 // Stop says that the agent process is ending. It takes no task any more,
 // whatever the endpoint announces.
 type Stop struct{}
@@ -75,6 +83,7 @@
 func (EndpointAnnounced) input() {}
 func (EndpointLeaving) input()   {}
 func (EndpointLost) input()      {}
+func (LeaseChanged) input()      {}
 func (Stop) input()              {}
 func (TaskEnded) input()         {}
 func (RevisionChanged) input()   {}
@@ -92,14 +101,21 @@
 // answers with TaskEnded exactly once.
 type Start struct {
 	Attempt msg.AttemptID
-	// Name is the start name that the endpoint has to repeat in announcements.
-	Name     string
+	// Name is the start name that the endpoint has to repeat in announcements. At a
+	// leased worker it is the name of the task.
+	Name string
+	// Leased says that the task runs under a lease.
+	Leased   bool
 	Service  string
 	Account  string
 	Payload  []byte
 	RunLimit time.Duration
 }
 
+// StopTask asks the driver to stop an attempt that runs under a lease. Its
+// TaskEnded follows.
+type StopTask struct{ Attempt msg.AttemptID }
+
 // CloseLink asks the driver to end the link to an entry incarnation.
 type CloseLink struct{ Entry msg.Incarnation }
 
@@ -115,6 +131,7 @@
 
 func (Send) output()          {}
 func (Start) output()         {}
+func (StopTask) output()      {}
 func (ApplyTable) output()    {}
 func (CloseLink) output()     {}
 func (EntryConflict) output() {}
--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -25,7 +25,7 @@
 			if j == nil {
 				break
 			}
-			w := c.workers.pick(now, name, c.rng)
+			w := c.pick(now, j)
 			if w == nil {
 				break
 			}
@@ -35,6 +35,14 @@
 	}
 }
 
+// pick returns the worker for the next task of the job, or nil.
+func (c *Core) pick(now time.Time, j *job) *worker {
+	if w := c.pickLeased(now, j, j.waiting[0]); w != nil {
+		return w
+	}
+	return c.workers.pick(now, j.spec.Service, c.rng)
+}
+
 // claim returns what would run if the service had more free slots.
 func (c *Core) claim(service string) msg.Claim {
 	s := c.queue.services[service]
@@ -62,7 +70,7 @@
 	j.running++
 	c.dispatches++
 	w.seq++
-	w.useSlot()
+	w.take(j.spec.Tasks[i].DeclaredSize)
 	remaining := j.spec.Deadline.Sub(now)
 	a := &attempt{
 		id:  msg.AttemptID{Entry: c.cfg.Incarnation, Job: j.spec.ID, Task: uint32(i), Attempt: t.attempts},
@@ -72,6 +80,7 @@
 	a.latestEnd = now.Add(min(remaining, c.cfg.StartWindow) + min(remaining, c.cfg.RunLimit))
 	c.use.Start(j.spec.Account)
 	a.timer = timer{attempt: a, index: -1}
+	a.size = j.spec.Tasks[i].DeclaredSize
 	t.attempt = a
 	c.attempts[a.id] = a
 	w.add(a)
@@ -80,7 +89,7 @@
 		Attempt: a.id, Seq: w.seq, AgentIncarnation: w.incarnation, StartBy: a.startBy,
 		RunLimit: min(remaining, c.cfg.RunLimit), Service: j.spec.Service,
 		Account: j.spec.Account, Payload: j.spec.Tasks[i].Payload, Acks: w.acks.take(),
-		Claim: c.claim(j.spec.Service),
+		Claim: c.claim(j.spec.Service), TaskName: j.spec.Tasks[i].Name, Size: a.size, Heard: w.vouch(),
 	})
 	c.progress(j)
 }
@@ -133,6 +142,10 @@
 		c.notStarted(a, verdict.NotReached)
 		return
 	}
+	if r.Kind == msg.ResultAborted {
+		c.aborted(a)
+		return
+	}
 	c.settle(a)
 	if r.Kind == msg.ResultOK || r.Kind == msg.ResultEndpointError {
 		c.use.End(a.job.spec.Account)
@@ -141,11 +154,16 @@
 	}
 	c.charge(a.job, r.RunTime)
 	c.noteOutcome(a.job, w, r)
-	c.ended(a.job, &a.job.tasks[a.task], w, r)
+	c.ended(a.job, a.task, w, r)
 }
 
 // ended applies the result of a task that started.
-func (c *Core) ended(j *job, t *task, w *worker, r msg.Result) {
+func (c *Core) ended(j *job, i int, w *worker, r msg.Result) {
+	t := &j.tasks[i]
+	if r.Kind == msg.ResultEndpointError && j.restarts() {
+		c.failed(j, i, w)
+		return
+	}
 	t.state = taskFinished
 	t.verdict = verdict.Ran
 	switch r.Kind {
@@ -153,6 +171,7 @@
 		t.result = TaskResult{Payload: r.Payload, RunTime: r.RunTime, Worker: w.name}
 		j.unfinished--
 		c.queue.fix(j)
+		c.taskDone(j, i)
 		c.progress(j)
 		c.finishIfSettled(j)
 	case msg.ResultEndpointError:
@@ -189,6 +208,7 @@
 	}
 	for i := range j.tasks {
 		if a := j.tasks[i].attempt; a != nil {
+			a.stop = j.restarts()
 			c.gatherRevoke(a)
 		}
 	}
@@ -215,15 +235,22 @@
 	for _, w := range workers {
 		attempts := w.revokes
 		w.revokes = nil
-		refs := make([]msg.AttemptRef, 0, len(attempts))
+		var ask, stop []msg.AttemptRef
 		for _, a := range attempts {
 			a.revoking = false
-			if !a.settled {
-				refs = append(refs, msg.AttemptRef{Attempt: a.id, StartBy: a.startBy})
+			ref := msg.AttemptRef{Attempt: a.id, StartBy: a.startBy}
+			switch {
+			case a.stop:
+				stop = append(stop, ref)
+			case !a.settled:
+				ask = append(ask, ref)
 			}
 		}
-		if len(refs) > 0 {
-			c.sendTo(now, w, msg.Revoke{Attempts: refs})
+		if len(ask) > 0 {
+			c.sendTo(now, w, msg.Revoke{Attempts: ask})
+		}
+		if len(stop) > 0 {
+			c.sendTo(now, w, msg.Revoke{Attempts: stop, Stop: true})
 		}
 	}
 }
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -60,6 +60,10 @@
 // every few tens of milliseconds.
 const pauseLimit = 500 * time.Millisecond
 
+// restartPause is the gap between ticks from which on callers may have given up
+// waiting for this process and sent their jobs again elsewhere.
+const restartPause = time.Second
+
 // Core is the state of one entry.
 type Core struct {
 	cfg    Config
@@ -173,6 +177,9 @@
 // whose messages may still wait to be read.
 func (c *Core) forgivePause(now time.Time) {
 	gap := now.Sub(c.lastTick)
+	if !c.lastTick.IsZero() && gap >= restartPause {
+		c.failPaused()
+	}
 	if !c.lastTick.IsZero() && gap >= pauseLimit {
 		for _, w := range c.workers.list {
 			w.lastHeard = w.lastHeard.Add(min(gap, now.Sub(w.lastHeard)))
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -82,10 +82,29 @@
 	Key string
 	// Progress asks for Progress outputs.
 	Progress bool
+	// Steps orders the tasks; without any, all tasks may run at once.
+	Steps []Step
+}
+
+// Step is a group of tasks of a job.
+type Step struct {
+	// After names earlier steps, by index, that have to be done first.
+	After []int
+	// Requires is a label that the worker must have; empty means any worker.
+	Requires string
+	// Affinity is a label of workers near the tasks' data; others take longer.
+	Affinity string
+	// MaxPerWorker limits the step's tasks that run on one worker; zero means no
+	// limit.
+	MaxPerWorker int
 }
 
 // Task is one unit of work of a job.
 type Task struct {
+	// Name names the task at a leased worker, unique among all jobs.
+	Name string
+	// Step is the index of the task's step.
+	Step            int
 	Payload         []byte
 	DeclaredSize    msg.Size
 	DeclaredRunTime time.Duration
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -28,6 +28,14 @@
 	waiting    []int
 	heapIndex  int
 	timer      timer
+	policy     JobTypePolicy
+	// arrived is when the job was submitted.
+	arrived time.Time
+	// startBy is when the first task has to start for an answer in the time that
+	// callers want; zero without such a time.
+	startBy time.Time
+	// left counts the unfinished tasks of each step, and steps the tasks of each.
+	left []int
 	// failing jobs wait only for the verdict on their dispatched tasks.
 	failing  *Answer
 	answered bool
@@ -41,6 +49,10 @@
 	// unproven counts attempts without proof that they did not start.
 	unproven int
 	result   TaskResult
+	// failures counts the attempts that failed; failedAt is the worker of the
+	// latest one.
+	failures int
+	failedAt string
 	// verdict says whether the task may have run, once it is known.
 	verdict verdict.Verdict
 }
@@ -65,6 +77,12 @@
 	// revoking is set while a revoke is gathered.
 	revoking bool
 	settled  bool
+	// size is what the attempt takes of a leased worker.
+	size msg.Size
+	// stop asks the agent to stop the attempt when it runs under a lease.
+	stop bool
+	// releaseAt is set when the agent was replaced: the attempt is then over.
+	releaseAt time.Time
 }
 
 func (c *Core) submit(now time.Time, spec Job) {
@@ -74,11 +92,16 @@
 		return
 	}
 	j := &job{spec: spec, tasks: make([]task, len(spec.Tasks)), unfinished: len(spec.Tasks)}
+	j.policy, j.arrived = c.policy.Services[spec.Service].JobTypes[spec.JobType], now
 	j.timer = timer{job: j, index: -1}
+	j.startBy = startBy(j)
 	c.jobs[spec.ID] = j
-	c.setTimer(&j.timer, spec.Deadline)
+	c.setTimer(&j.timer, j.firstTimer())
+	j.countSteps()
 	for i := range spec.Tasks {
-		c.queue.push(j, i)
+		if j.stepReady(spec.Tasks[i].Step) {
+			c.queue.push(j, i)
+		}
 	}
 	c.progress(j)
 }
@@ -247,11 +270,19 @@
 // expireJob fails a job past its deadline. What the agents have not answered
 // verdictWait later counts as possibly run.
 func (c *Core) expireJob(now time.Time, j *job) {
+	if now.Before(j.spec.Deadline) {
+		c.refuseLate(j)
+		return
+	}
 	c.failJob(j, verdict.DeadlineExceeded, "the deadline passed before every task had ended")
 	if j.answered {
 		return
 	}
 	end := j.spec.Deadline.Add(verdictWait)
+	if j.restarts() {
+		// Stopping the tasks would take longer than the caller waits.
+		end = now
+	}
 	if now.Before(end) {
 		c.setTimer(&j.timer, end)
 		return
@@ -265,8 +296,7 @@
 
 // failAll ends every job now, oldest first.
 func (c *Core) failAll(reason verdict.Reason) {
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		j := c.jobs[id]
+	for _, j := range c.orderedJobs() {
 		c.failJob(j, reason, "the entry stopped")
 		if !j.answered {
 			c.giveUpAttempts(j)
@@ -274,6 +304,15 @@
 	}
 }
 
+// orderedJobs returns the jobs without an answer, oldest first.
+func (c *Core) orderedJobs() []*job {
+	jobs := make([]*job, 0, len(c.jobs))
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		jobs = append(jobs, c.jobs[id])
+	}
+	return jobs
+}
+
 func (c *Core) progress(j *job) {
 	if !j.spec.Progress {
 		return
--- /dev/null
+++ b/internal/core/entry/overload.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
+)
+
+// Callers want the answer within a time that grows with the longest task. A job
+// that has not started by the time at which it could still meet it is refused,
+// so that the capacity goes to jobs that can.
+
+const (
+	// slackShare is the part of a job's slack that it may wait in the queue. The
+	// rest covers run times that are longer than declared.
+	slackShare = 0.6
+	// minQueueWait is the shortest time for which a job may wait.
+	minQueueWait = 20 * time.Millisecond
+)
+
+// restarts tells whether a task may be started again after an attempt that
+// failed or was aborted.
+func (j *job) restarts() bool { return j.policy.MaxAttempts > 0 }
+
+// startBy returns job.startBy.
+func startBy(j *job) time.Time {
+	p := j.policy
+	if p.ResponseTarget <= 0 {
+		return time.Time{}
+	}
+	var longest time.Duration
+	for _, t := range j.spec.Tasks {
+		longest = max(longest, t.DeclaredRunTime)
+	}
+	wanted := time.Duration(p.ResponseFactor*float64(longest)) + p.ResponseTarget
+	slack := time.Duration(slackShare * float64(wanted-longest))
+	return j.arrived.Add(max(minQueueWait, slack))
+}
+
+// firstTimer returns when the job first needs attention.
+func (j *job) firstTimer() time.Time {
+	if j.startBy.IsZero() || j.spec.Deadline.Before(j.startBy) {
+		return j.spec.Deadline
+	}
+	return j.startBy
+}
+
+// untouched tells whether no task of the job was ever dispatched.
+func (j *job) untouched() bool {
+	for i := range j.tasks {
+		if j.tasks[i].attempts > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Untouched returns the number of jobs of a type of which no task was dispatched.
+func (c *Core) Untouched(service, jobType string) int {
+	n := 0
+	for _, j := range c.jobs {
+		if j.spec.Service == service && j.spec.JobType == jobType && j.untouched() {
+			n++
+		}
+	}
+	return n
+}
+
+// refuseLate refuses a job that has waited too long to start.
+func (c *Core) refuseLate(j *job) {
+	if j.untouched() {
+		c.failJob(j, verdict.WouldMissDeadline, "no worker had room in time")
+		return
+	}
+	c.setTimer(&j.timer, j.spec.Deadline)
+}
--- a/internal/core/entry/policy.go
+++ b/internal/core/entry/policy.go
@@ -1,6 +1,9 @@
 package entry
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Policy is what the core needs of the operators' table.
 type Policy struct {
@@ -8,6 +11,18 @@
 	Revision uint64
 	Services map[string]ServicePolicy
 	Accounts map[string]AccountPolicy
+	// Routes are ordered by the length of their prefix, the longest first.
+	Routes []Route
+}
+
+// Route returns the route with the longest prefix of the path at the host.
+func (p *Policy) Route(host, path string) (Route, bool) {
+	for _, r := range p.Routes {
+		if r.Host == host && strings.HasPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
 }
 
 // ServicePolicy is the part of a service.
@@ -27,6 +42,23 @@
 	MaxPayload int
 	// DefaultDeadline applies to a job that names none; zero means the entry's.
 	DefaultDeadline time.Duration
+	// MaxAttempts is how often a task may fail before its job does. A task is
+	// started again only after proof that the run before has ended. Zero means that
+	// no task starts twice for any reason.
+	MaxAttempts int
+	// Priority orders job types; a smaller one goes first.
+	Priority int
+	// ResponseTarget and ResponseFactor make the time in which callers want the
+	// answer: the factor times the longest task, and the target more. A target of
+	// zero means that there is none.
+	ResponseTarget time.Duration
+	ResponseFactor float64
+}
+
+// Route leads requests with a host and a path prefix to a job type.
+type Route struct {
+	Host, PathPrefix string
+	Service, JobType string
 }
 
 // AccountPolicy is the part of a client account.
--- /dev/null
+++ b/internal/core/entry/steps.go
@@ -0,0 +1,69 @@
+package entry
+
+// countSteps counts the unfinished tasks of each step.
+func (j *job) countSteps() {
+	j.left = make([]int, len(j.spec.Steps))
+	for _, t := range j.spec.Tasks {
+		if t.Step < len(j.left) {
+			j.left[t.Step]++
+		}
+	}
+}
+
+// stepReady tells whether the steps before a step are done.
+func (j *job) stepReady(step int) bool {
+	if step >= len(j.spec.Steps) {
+		return true
+	}
+	for _, before := range j.spec.Steps[step].After {
+		if j.left[before] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// taskDone queues the steps that waited for the task's step to be done.
+func (c *Core) taskDone(j *job, task int) {
+	step := j.spec.Tasks[task].Step
+	if step >= len(j.left) {
+		return
+	}
+	if j.left[step]--; j.left[step] > 0 {
+		return
+	}
+	for i := range j.tasks {
+		next := j.spec.Tasks[i].Step
+		if j.follows(next, step) && j.stepReady(next) {
+			c.queue.push(j, i)
+		}
+	}
+}
+
+func (j *job) follows(next, step int) bool {
+	for _, before := range j.spec.Steps[next].After {
+		if before == step {
+			return true
+		}
+	}
+	return false
+}
+
+// step returns the step of a task; a job without steps has one without rules.
+func (j *job) step(task int) Step {
+	if i := j.spec.Tasks[task].Step; i < len(j.spec.Steps) {
+		return j.spec.Steps[i]
+	}
+	return Step{}
+}
+
+// runningAt counts the tasks of the step that are dispatched to the worker.
+func (j *job) runningAt(w *worker, step int) int {
+	n := 0
+	for i := range j.tasks {
+		if a := j.tasks[i].attempt; a != nil && a.worker == w && j.spec.Tasks[i].Step == step {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -37,6 +37,10 @@
 	// free is the number of slots believed free and granted to this entry, spare
 	// that of other slots believed free.
 	free, spare int
+	// room is what is believed free at a leased worker.
+	room msg.Size
+	// vouched is when the agent clock that was last repeated to the agent came.
+	vouched time.Time
 	// failedJobs is the number of jobs in a row that failed at the worker, as its
 	// newest report says.
 	failedJobs int
@@ -69,7 +73,9 @@
 
 func (w *worker) linked() bool { return w.link != 0 }
 
-func (w *worker) usable() bool { return w.linked() && w.state == workerUp && w.free+w.spare > 0 }
+func (w *worker) usable() bool {
+	return w.linked() && w.state == workerUp && (w.hello.Leased() || w.free+w.spare > 0)
+}
 
 // clockAt estimates the agent's clock. The estimate is never ahead of the real
 // one, since the message took some time to arrive.
@@ -103,6 +109,7 @@
 	w.reported = w.lastHeard
 	w.failedJobs = r.FailedJobs
 	w.setFree(r.Free-w.inFlight(r.Covers), r.Spare)
+	w.setRoom(r)
 	return true
 }
 
@@ -129,6 +136,15 @@
 	w.checkSlots()
 }
 
+// take uses up what a dispatch needs.
+func (w *worker) take(size msg.Size) {
+	if w.hello.Leased() {
+		w.room = w.room.Minus(size)
+		return
+	}
+	w.useSlot()
+}
+
 func (w *worker) checkSlots() {
 	invariant.Check(w.free >= 0 && w.spare >= 0 && w.free+w.spare <= w.hello.Slots, invariant.SlotsInRange, "worker %s is believed to have %d and %d of %d slots free", w.name, w.free, w.spare, w.hello.Slots)
 }
@@ -209,7 +225,7 @@
 	var best *worker
 	ties := 0
 	for _, w := range s.list {
-		if !w.usable() || w.hello.Service != service || !w.mayTake(now) {
+		if !w.usable() || w.hello.Leased() || w.hello.Service != service || !w.mayTake(now) {
 			continue
 		}
 		switch {
@@ -253,13 +269,21 @@
 		c.sendTable(now, w)
 	}
 	c.askOutstanding(now, w)
+	if len(w.outstanding) > 0 {
+		// Vouches for them before the agent stops them.
+		c.sendHeartbeat(now, w)
+	}
 }
 
 // replaceAgent gives up the attempts of an agent process that a later one
 // replaced. The earlier one is not accepted again, so that two agents that
 // claim one worker cannot take turns.
 func (c *Core) replaceAgent(w *worker) {
-	c.loseAttempts(w, "the agent was restarted")
+	if w.hello.Leased() {
+		w.keepPredecessors()
+	} else {
+		c.loseAttempts(w, "the agent was restarted")
+	}
 	if len(w.retired) >= maxRetired {
 		w.retired = slices.Delete(w.retired, 0, 1)
 	}
@@ -358,6 +382,7 @@
 func (c *Core) watchWorkers(now time.Time) {
 	var lost []*worker
 	for _, w := range c.workers.list {
+		c.releaseAttempts(now, w)
 		silence := now.Sub(w.lastHeard)
 		if silence >= c.cfg.LostAfter {
 			lost = append(lost, w)
@@ -381,11 +406,17 @@
 		return
 	}
 	if now.Sub(w.lastSent) >= c.cfg.HeartbeatInterval {
-		c.sendTo(now, w, msg.EntryHeartbeat{Seq: w.seq, Revision: c.policy.Revision, Acks: w.acks.take(), Claim: c.claim(w.hello.Service)})
+		c.sendHeartbeat(now, w)
 	}
 	c.sendAcks(now, w)
 }
 
+func (c *Core) sendHeartbeat(now time.Time, w *worker) {
+	c.sendTo(now, w, msg.EntryHeartbeat{
+		Seq: w.seq, Revision: c.policy.Revision, Acks: w.acks.take(), Claim: c.claim(w.hello.Service), Heard: w.vouch(),
+	})
+}
+
 // loseAttempts gives up every attempt at the worker's current incarnation.
 func (c *Core) loseAttempts(w *worker, message string) {
 	for _, a := range slices.Clone(w.outstanding) {
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -53,6 +53,27 @@
 	Accelerators uint32
 }
 
+// Plus returns the sum of both sizes.
+func (s Size) Plus(o Size) Size {
+	return Size{s.Cores + o.Cores, s.MemoryBytes + o.MemoryBytes, s.Accelerators + o.Accelerators}
+}
+
+// Minus returns what is left of s without o; no resource goes below zero.
+func (s Size) Minus(o Size) Size {
+	return Size{
+		max(0, s.Cores-o.Cores), s.MemoryBytes - min(s.MemoryBytes, o.MemoryBytes), s.Accelerators - min(s.Accelerators, o.Accelerators),
+	}
+}
+
+// coreGrain is below the smallest amount of cores that counts; it absorbs the
+// rounding of sums.
+const coreGrain = 1e-6
+
+// Within tells whether s fits into room.
+func (s Size) Within(room Size) bool {
+	return s.Cores <= room.Cores+coreGrain && s.MemoryBytes <= room.MemoryBytes && s.Accelerators <= room.Accelerators
+}
+
 // Slots is an agent's report of its free slots to one entry.
 type Slots struct {
 	// Free is the number of free slots granted to the entry.
@@ -69,6 +90,8 @@
 	// FailedJobs is the number of jobs in a row, of any entry, whose tasks failed
 	// at the endpoint.
 	FailedJobs int
+	// Room is what is free at a leased worker.
+	Room Size
 }
 
 // Claim says what an entry would run if more slots were free.
@@ -98,8 +121,20 @@
 	Size          Size
 	Revision      uint64
 	Leaving       bool
+	// ReleaseAfter is set when tasks run under a lease which the agent holds: they
+	// can be stopped, and once the newest agent clock that an entry has repeated
+	// (EntryHeartbeat.Heard) is this old, nothing of the entry runs any more.
+	ReleaseAfter time.Duration
+	// Labels name the worker's kind and rack.
+	Labels []string
+	// Settled says that no task which an earlier agent of this worker started
+	// runs any more.
+	Settled bool
 }
 
+// Leased tells whether tasks run under a lease that the agent holds.
+func (h Hello) Leased() bool { return h.ReleaseAfter > 0 }
+
 // Refused says that the attempt did not start and never will.
 type Refused struct {
 	Attempt AttemptID
@@ -119,6 +154,9 @@
 	ResultEndpointFailed
 	// ResultNotReached means that no connection was made; the task did not run.
 	ResultNotReached
+	// ResultAborted means that the task started, ended before it was done and
+	// runs no more: it was stopped, its lease lapsed or its worker was lost.
+	ResultAborted
 )
 
 // Result says that an accepted attempt has ended. The agent keeps it until
@@ -171,6 +209,9 @@
 	Revision uint64
 	Acks     []AttemptID
 	Claim    Claim
+	// Heard is the newest clock of the agent that the entry has received. It
+	// vouches that the entry was alive and linked at that time.
+	Heard time.Duration
 }
 
 // Leaving says that the endpoint takes no new tasks.
@@ -213,6 +254,12 @@
 	// Acks names attempts whose results have arrived.
 	Acks  []AttemptID
 	Claim Claim
+	// TaskName names the task at a leased worker; its attempts share it.
+	TaskName string
+	// Size is what the task takes of a leased worker.
+	Size Size
+	// Heard is the newest clock of the agent that the entry has received.
+	Heard time.Duration
 }
 
 // AttemptRef names an attempt together with its latest start, so that the
@@ -222,8 +269,12 @@
 	StartBy time.Duration
 }
 
-// Revoke asks that attempts which have not started never start.
-type Revoke struct{ Attempts []AttemptRef }
+// Revoke asks that attempts which have not started never start. Stop asks that
+// those which run under a lease are stopped as well; their results follow.
+type Revoke struct {
+	Attempts []AttemptRef
+	Stop     bool
+}
 
 // Query asks for the state of attempts and changes nothing.
 type Query struct{ Attempts []AttemptRef }
--- a/internal/core/table/column.go
+++ b/internal/core/table/column.go
@@ -35,6 +35,12 @@
 	ColumnMaxPayload      = "max_payload_bytes"
 	ColumnDefaultDeadline = "default_deadline"
 	ColumnTokenSHA256     = "token_sha256"
+	ColumnHost            = "host"
+	ColumnPathPrefix      = "path_prefix"
+	ColumnPriority        = "priority"
+	ColumnMaxAttempts     = "max_attempts"
+	ColumnResponseTarget  = "response_target"
+	ColumnResponseFactor  = "response_factor"
 )
 
 // Largest values that a cell may hold.
@@ -45,6 +51,9 @@
 	maxJobTasks = 1000
 	maxPayload  = 1 << 20
 	maxDeadline = 24 * time.Hour
+	maxPriority = 1000
+	maxAttempts = 1000
+	maxFactor   = 1000
 )
 
 // Column describes one column of the table.
@@ -56,24 +65,38 @@
 	Allowed string
 	// Kinds are the rows that use the column. An empty cell means the default.
 	Kinds []Kind
+	// Optional columns may be missing from a file, and are written only when a row
+	// uses them.
+	Optional bool
 	// canonical returns the one spelling of a value, or false when the value is
 	// not allowed.
 	canonical func(string) (string, bool)
 }
 
 // Columns lists the columns in the order in which they are written.
-var Columns = []Column{
-	{ColumnKind, "what the row describes", "service, job or account", []Kind{Service, Job, Account}, canonicalKind},
-	{ColumnName, "name of the service, job or client account", allowedName, []Kind{Service, Job, Account}, canonicalName},
-	{ColumnService, "service that may submit the job", "name of a service row", []Kind{Job}, canonicalName},
-	{ColumnWeight, "share of capacity against other accounts; 1 when empty", "number from 0.001 to 1000000", []Kind{Account}, positive(maxWeight)},
-	{ColumnMaxRunning, "most tasks that run at once; no limit when empty", allowedCount, []Kind{Account}, count(maxCount)},
-	{ColumnMaxQueued, "most tasks that wait; no limit when empty", allowedCount, []Kind{Account}, count(maxCount)},
-	{ColumnTasksPerSecond, "reserved for a quota that no process enforces yet; must be empty", "nothing", nil, positive(maxCount)},
-	{ColumnMaxTasks, "largest job; 1000 tasks when empty", "whole number from 1 to 1000", []Kind{Job}, count(maxJobTasks)},
-	{ColumnMaxPayload, "largest payload of a task, in bytes; the service's or the entry's limit when empty", "whole number from 1 to 1048576", []Kind{Service, Job}, count(maxPayload)},
-	{ColumnDefaultDeadline, "deadline of a job that names none; the service's or the entry's when empty", "duration such as 500ms, 30s or 5m, at most 24h", []Kind{Service, Job}, canonicalDuration},
-	{ColumnTokenSHA256, "SHA-256 of the account's token; without it the account is refused unless authentication is off", "64 hexadecimal digits", []Kind{Account}, canonicalHash},
+var Columns = append(requiredColumns, optionalColumns...)
+
+var optionalColumns = []Column{
+	{ColumnHost, "host of the requests that are jobs of this type", "host name", []Kind{Job}, true, canonicalHost},
+	{ColumnPathPrefix, "prefix of their paths; the longest one at a host wins", "path that begins with /", []Kind{Job}, true, canonicalPath},
+	{ColumnPriority, "order of job types, the smallest first; 0 when empty", "whole number from 0 to 1000", []Kind{Job}, true, countFrom(0, maxPriority)},
+	{ColumnMaxAttempts, "how often a task may fail before its job does; a task never starts twice when empty", "whole number from 1 to 1000", []Kind{Job}, true, count(maxAttempts)},
+	{ColumnResponseTarget, "time in which callers want the answer, beyond response_factor times the longest task; none when empty", "duration such as 60ms or 2s, at most 24h", []Kind{Job}, true, canonicalDuration},
+	{ColumnResponseFactor, "see response_target; 1 when empty", "number from 0.001 to 1000", []Kind{Job}, true, positive(maxFactor)},
+}
+
+var requiredColumns = []Column{
+	{ColumnKind, "what the row describes", "service, job or account", []Kind{Service, Job, Account}, false, canonicalKind},
+	{ColumnName, "name of the service, job or client account", allowedName, []Kind{Service, Job, Account}, false, canonicalName},
+	{ColumnService, "service that may submit the job", "name of a service row", []Kind{Job}, false, canonicalName},
+	{ColumnWeight, "share of capacity against other accounts; 1 when empty", "number from 0.001 to 1000000", []Kind{Account}, false, positive(maxWeight)},
+	{ColumnMaxRunning, "most tasks that run at once; no limit when empty", allowedCount, []Kind{Account}, false, count(maxCount)},
+	{ColumnMaxQueued, "most tasks that wait; no limit when empty", allowedCount, []Kind{Account}, false, count(maxCount)},
+	{ColumnTasksPerSecond, "reserved for a quota that no process enforces yet; must be empty", "nothing", nil, false, positive(maxCount)},
+	{ColumnMaxTasks, "largest job; 1000 tasks when empty", "whole number from 1 to 1000", []Kind{Job}, false, count(maxJobTasks)},
+	{ColumnMaxPayload, "largest payload of a task, in bytes; the service's or the entry's limit when empty", "whole number from 1 to 1048576", []Kind{Service, Job}, false, count(maxPayload)},
+	{ColumnDefaultDeadline, "deadline of a job that names none; the service's or the entry's when empty", "duration such as 500ms, 30s or 5m, at most 24h", []Kind{Service, Job}, false, canonicalDuration},
+	{ColumnTokenSHA256, "SHA-256 of the account's token; without it the account is refused unless authentication is off", "64 hexadecimal digits", []Kind{Account}, false, canonicalHash},
 }
 
 const (
@@ -84,6 +107,8 @@
 var (
 	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	hostPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9.-]{0,252}$`)
+	pathPattern = regexp.MustCompile(`^/[!-~]{0,999}$`)
 )
 
 // columnByName holds the index of each column.
@@ -111,6 +136,10 @@
 
 func canonicalName(s string) (string, bool) { return s, namePattern.MatchString(s) }
 
+func canonicalHost(s string) (string, bool) { return strings.ToLower(s), hostPattern.MatchString(s) }
+
+func canonicalPath(s string) (string, bool) { return s, pathPattern.MatchString(s) }
+
 func canonicalHash(s string) (string, bool) {
 	s = strings.ToLower(s)
 	return s, hashPattern.MatchString(s)
@@ -122,10 +151,12 @@
 }
 
 // count returns a check for whole numbers from 1 to the limit.
-func count(limit int) func(string) (string, bool) {
+func count(limit int) func(string) (string, bool) { return countFrom(1, limit) }
+
+func countFrom(least, limit int) func(string) (string, bool) {
 	return func(s string) (string, bool) {
 		n, err := strconv.Atoi(s)
-		return strconv.Itoa(n), err == nil && n >= 1 && n <= limit
+		return strconv.Itoa(n), err == nil && n >= least && n <= limit
 	}
 }
 
--- a/internal/core/table/csv.go
+++ b/internal/core/table/csv.go
@@ -32,13 +32,14 @@
 func Encode(t Table) []byte {
 	var b bytes.Buffer
 	w := csv.NewWriter(&b)
-	record := make([]string, len(Columns))
-	for i, c := range Columns {
+	columns := t.usedColumns()
+	record := make([]string, len(columns))
+	for i, c := range columns {
 		record[i] = c.Name
 	}
 	_ = w.Write(record)
 	for _, k := range t.Keys() {
-		for i, c := range Columns {
+		for i, c := range columns {
 			record[i] = t.rows[k][c.Name]
 		}
 		record[0], record[1], record[2] = string(k.Kind), k.Name, k.Service
@@ -48,6 +49,23 @@
 	return b.Bytes()
 }
 
+// usedColumns returns the columns without the optional ones that no row uses.
+func (t Table) usedColumns() []Column {
+	used := make(map[string]bool)
+	for _, cells := range t.rows {
+		for name := range cells {
+			used[name] = true
+		}
+	}
+	var columns []Column
+	for _, c := range Columns {
+		if !c.Optional || used[c.Name] {
+			columns = append(columns, c)
+		}
+	}
+	return columns
+}
+
 // EncodeFile returns the CSV after a line that names the revision.
 func EncodeFile(f File) []byte {
 	return append([]byte(revisionMark+strconv.FormatUint(f.Revision, 10)+"\n"), Encode(f.Table)...)
@@ -123,7 +141,7 @@
 		seen[column] = true
 	}
 	for i, c := range Columns {
-		if len(errs) == 0 && !seen[i] {
+		if len(errs) == 0 && !seen[i] && !c.Optional {
 			errs = append(errs, Error{Line: 1, Column: c.Name, Allowed: "a header row with the columns " + columnNames()})
 		}
 	}
@@ -177,6 +195,11 @@
 	if len(fields) == 0 {
 		return nil
 	}
+	return t.add(line, fields)
+}
+
+// add checks the cells of one row, its name among them, and adds it.
+func (t Table) add(line int, fields Cells) Errors {
 	errs := canonicalise(line, fields)
 	if len(errs) > 0 {
 		return errs
--- a/internal/core/table/policy.go
+++ b/internal/core/table/policy.go
@@ -1,6 +1,8 @@
 package table
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -22,10 +24,16 @@
 		case Job:
 			service := p.Services[k.Service]
 			service.JobTypes[k.Name] = jobTypePolicy(cells, service)
+			if cells[ColumnHost] != "" && cells[ColumnPathPrefix] != "" {
+				p.Routes = append(p.Routes, entry.Route{
+					Host: cells[ColumnHost], PathPrefix: cells[ColumnPathPrefix], Service: k.Service, JobType: k.Name,
+				})
+			}
 		case Account:
 			p.Accounts[k.Name] = accountPolicy(cells)
 		}
 	}
+	slices.SortStableFunc(p.Routes, func(a, b entry.Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	return p
 }
 
@@ -42,6 +50,13 @@
 		MaxTasks:        integer(c[ColumnMaxTasks]),
 		MaxPayload:      integer(c[ColumnMaxPayload]),
 		DefaultDeadline: duration(c[ColumnDefaultDeadline]),
+		Priority:        integer(c[ColumnPriority]),
+		MaxAttempts:     integer(c[ColumnMaxAttempts]),
+		ResponseTarget:  duration(c[ColumnResponseTarget]),
+		ResponseFactor:  number(c[ColumnResponseFactor]),
+	}
+	if p.ResponseFactor == 0 {
+		p.ResponseFactor = 1
 	}
 	if p.MaxPayload == 0 {
 		p.MaxPayload = service.MaxPayload
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -66,6 +66,9 @@
 	// ResultDropped means that a keyed request ran earlier and its answer is no
 	// longer kept.
 	ResultDropped
+	// EntryPaused means that the entry's process stood still while the job was in
+	// progress.
+	EntryPaused
 
 	reasonEnd
 )
@@ -79,7 +82,7 @@
 	"would_miss_deadline", "over_quota", "draining", "too_many_requests",
 	"deadline_exceeded", "key_unavailable", "cancelled", "endpoint_error", "endpoint_failed",
 	"worker_lost", "retries_exhausted", "stopped",
-	"result_dropped",
+	"result_dropped", "entry_paused",
 }
 
 // String returns the name used in answers, logs and metrics.
@@ -99,8 +102,8 @@
 	return all
 }
 
-// RetryReason says why an attempt did not start at an agent, so that the
-// entry sends the task again. The list is closed.
+// RetryReason says why an attempt did not start at an agent, or did not finish
+// there, so that the entry sends the task again. The list is closed.
 type RetryReason uint8
 
 const (
@@ -121,6 +124,15 @@
 	// NeverStarted means that the agent answered a question about a lost
 	// dispatch with the promise that it never starts.
 	NeverStarted
+	// TaskPresent means that an older attempt of the same task was still there.
+	TaskPresent
+	// StaleRun means that the worker has seen a later run of the task.
+	StaleRun
+	// Aborted means that the attempt started and ended before it was done: it was
+	// stopped, its lease lapsed or its worker was lost.
+	Aborted
+	// EndpointFailure means that the attempt failed and the job allows another.
+	EndpointFailure
 
 	retryReasonEnd
 )
@@ -128,7 +140,7 @@
 var retryReasonNames = [retryReasonEnd]string{
 	"unspecified", "no_slot", "start_by_passed", "worker_leaving",
 	"wrong_incarnation", "wrong_service", "attempt_revoked", "not_reached",
-	"never_started",
+	"never_started", "task_present", "stale_run", "aborted", "endpoint_failure",
 }
 
 // String returns the name used on the wire, in logs and in metrics.
--- a/internal/linkpb/agent.go
+++ b/internal/linkpb/agent.go
@@ -72,7 +72,7 @@
 		Worker: m.Worker, FailureDomain: m.FailureDomain, Incarnation: uint64(m.Incarnation),
 		Service: m.Service, Slots: uint32(m.Slots), Report: encodeSlots(m.Report),
 		Connections: uint32(m.Connections), Revision: m.Revision, Leaving: m.Leaving,
-		Size: EncodeSize(m.Size),
+		Size: EncodeSize(m.Size), ReleaseAfterNs: int64(m.ReleaseAfter), Labels: m.Labels, Settled: m.Settled,
 	}
 }
 
@@ -92,12 +92,13 @@
 		Incarnation: msg.Incarnation(h.GetIncarnation()), Service: h.GetService(),
 		Slots: int(h.GetSlots()), Report: decodeSlots(h.GetReport()), Connections: int(h.GetConnections()),
 		Revision: h.GetRevision(), Leaving: h.GetLeaving(), Size: DecodeSize(h.GetSize()),
+		ReleaseAfter: time.Duration(h.GetReleaseAfterNs()), Labels: h.GetLabels(), Settled: h.GetSettled(),
 	}, nil
 }
 
 func decodeResult(r *pb.Result) (msg.FromAgent, error) {
 	kind := msg.ResultKind(r.GetKind())
-	if kind < msg.ResultOK || kind > msg.ResultNotReached {
+	if kind < msg.ResultOK || kind > msg.ResultAborted {
 		return nil, ErrMalformed.New("unknown result kind %d", r.GetKind())
 	}
 	return msg.Result{
@@ -135,7 +136,11 @@
 }
 
 func encodeSlots(s msg.Slots) *pb.SlotReport {
-	return &pb.SlotReport{Free: uint32(s.Free), Spare: uint32(s.Spare), Covers: s.Covers, Number: s.Number, FailedJobs: uint32(s.FailedJobs)}
+	p := &pb.SlotReport{Free: uint32(s.Free), Spare: uint32(s.Spare), Covers: s.Covers, Number: s.Number, FailedJobs: uint32(s.FailedJobs)}
+	if s.Room != (msg.Size{}) {
+		p.Room = EncodeSize(s.Room)
+	}
+	return p
 }
 
 // decodeSlots bounds the numbers, so that a garbled report cannot attract
@@ -144,6 +149,7 @@
 	return msg.Slots{
 		Free: int(min(p.GetFree(), maxSlots)), Spare: int(min(p.GetSpare(), maxSlots)),
 		Covers: p.GetCovers(), Number: p.GetNumber(), FailedJobs: int(min(p.GetFailedJobs(), maxSlots)),
+		Room: DecodeSize(p.GetRoom()),
 	}
 }
 
--- a/internal/linkpb/entry.go
+++ b/internal/linkpb/entry.go
@@ -16,21 +16,16 @@
 	case msg.Rejected:
 		return &pb.EntryMessage{Message: &pb.EntryMessage_Rejected{Rejected: &pb.Rejected{Reason: m.Reason}}}
 	case msg.Dispatch:
-		return &pb.EntryMessage{Message: &pb.EntryMessage_Dispatch{Dispatch: &pb.DispatchTask{
-			Attempt: encodeAttempt(m.Attempt), AgentIncarnation: uint64(m.AgentIncarnation),
-			StartByNs: int64(m.StartBy), RunLimitNs: int64(m.RunLimit),
-			Service: m.Service, Account: m.Account, Payload: m.Payload, Seq: m.Seq, Acks: encodeAttempts(m.Acks),
-			Claim: encodeClaim(m.Claim),
-		}}}
+		return &pb.EntryMessage{Message: &pb.EntryMessage_Dispatch{Dispatch: encodeDispatch(m)}}
 	case msg.Revoke:
-		return &pb.EntryMessage{Message: &pb.EntryMessage_Revoke{Revoke: &pb.Revoke{Attempts: encodeRefs(m.Attempts)}}}
+		return &pb.EntryMessage{Message: &pb.EntryMessage_Revoke{Revoke: &pb.Revoke{Attempts: encodeRefs(m.Attempts), Stop: m.Stop}}}
 	case msg.Query:
 		return &pb.EntryMessage{Message: &pb.EntryMessage_Query{Query: &pb.Query{Attempts: encodeRefs(m.Attempts)}}}
 	case msg.Ack:
 		return &pb.EntryMessage{Message: &pb.EntryMessage_Ack{Ack: &pb.Ack{Attempts: encodeAttempts(m.Attempts)}}}
 	case msg.EntryHeartbeat:
 		return &pb.EntryMessage{Message: &pb.EntryMessage_Heartbeat{Heartbeat: &pb.EntryHeartbeat{
-			Seq: m.Seq, Revision: m.Revision, Acks: encodeAttempts(m.Acks), Claim: encodeClaim(m.Claim),
+			Seq: m.Seq, Revision: m.Revision, Acks: encodeAttempts(m.Acks), Claim: encodeClaim(m.Claim), HeardNs: int64(m.Heard),
 		}}}
 	case msg.TableUpdate:
 		return &pb.EntryMessage{Message: &pb.EntryMessage_Table{Table: &pb.TableUpdate{Revision: m.Revision}}}
@@ -52,9 +47,10 @@
 			StartBy: time.Duration(d.GetStartByNs()), RunLimit: time.Duration(d.GetRunLimitNs()),
 			Service: d.GetService(), Account: d.GetAccount(), Payload: d.GetPayload(), Seq: d.GetSeq(),
 			Acks: decodeAttempts(d.GetAcks()), Claim: decodeClaim(d.GetClaim()),
+			TaskName: d.GetTaskName(), Size: DecodeSize(d.GetSize()), Heard: time.Duration(d.GetHeardNs()),
 		}, nil
 	case *pb.EntryMessage_Revoke:
-		return msg.Revoke{Attempts: decodeRefs(m.Revoke.GetAttempts())}, nil
+		return msg.Revoke{Attempts: decodeRefs(m.Revoke.GetAttempts()), Stop: m.Revoke.GetStop()}, nil
 	case *pb.EntryMessage_Query:
 		return msg.Query{Attempts: decodeRefs(m.Query.GetAttempts())}, nil
 	case *pb.EntryMessage_Ack:
@@ -62,7 +58,7 @@
 	case *pb.EntryMessage_Heartbeat:
 		return msg.EntryHeartbeat{
 			Seq: m.Heartbeat.GetSeq(), Revision: m.Heartbeat.GetRevision(), Acks: decodeAttempts(m.Heartbeat.GetAcks()),
-			Claim: decodeClaim(m.Heartbeat.GetClaim()),
+			Claim: decodeClaim(m.Heartbeat.GetClaim()), Heard: time.Duration(m.Heartbeat.GetHeardNs()),
 		}, nil
 	case *pb.EntryMessage_Table:
 		return msg.TableUpdate{Revision: m.Table.GetRevision()}, nil
@@ -70,6 +66,19 @@
 	return nil, ErrMalformed.New("entry message without a known kind")
 }
 
+func encodeDispatch(m msg.Dispatch) *pb.DispatchTask {
+	d := &pb.DispatchTask{
+		Attempt: encodeAttempt(m.Attempt), AgentIncarnation: uint64(m.AgentIncarnation),
+		StartByNs: int64(m.StartBy), RunLimitNs: int64(m.RunLimit),
+		Service: m.Service, Account: m.Account, Payload: m.Payload, Seq: m.Seq, Acks: encodeAttempts(m.Acks),
+		Claim: encodeClaim(m.Claim), TaskName: m.TaskName, HeardNs: int64(m.Heard),
+	}
+	if m.Size != (msg.Size{}) {
+		d.Size = EncodeSize(m.Size)
+	}
+	return d
+}
+
 // encodeClaim leaves out the claim of an entry where nothing waits.
 func encodeClaim(c msg.Claim) *pb.Claim {
 	if c == (msg.Claim{}) {
