--- a/internal/agentd/announce.go
+++ b/internal/agentd/announce.go
@@ -18,10 +18,16 @@
 // announceTimeout is the silence after which the endpoint counts as gone.
 const announceTimeout = 3 * time.Second
 
+// leasedAnnounceTimeout is the same for a leased worker, whose heartbeats come
+// every 1.5 s and whose lease shows sooner when it is gone.
+const leasedAnnounceTimeout = 6 * time.Second
+
 // announcer serves the endpoint's side of the agent.
 type announcer struct {
 	loop *loop
 	log  *zap.Logger
+	// timeout is the silence after which the endpoint counts as gone.
+	timeout time.Duration
 
 	mu   sync.Mutex
 	last time.Time
@@ -100,7 +106,7 @@
 // checkSilence reports an endpoint that has stopped announcing itself.
 func (a *announcer) checkSilence() {
 	a.mu.Lock()
-	silent := !a.last.IsZero() && !a.gone && time.Since(a.last) > announceTimeout
+	silent := !a.last.IsZero() && !a.gone && time.Since(a.last) > a.timeout
 	if silent {
 		a.gone = true
 	}
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -8,7 +8,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/agent"
+	"github.com/poplarlever/poplarlever/internal/core/lease"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/linkpb"
 	"github.com/poplarlever/poplarlever/internal/logevent"
@@ -48,7 +50,11 @@
 	d.loop.metrics = d.opts.metrics
 	d.loop.endpoint = newEndpointClient(maxConnections)
 	d.loop.log = log
-	d.announce = &announcer{loop: d.loop, log: log}
+	d.announce = &announcer{loop: d.loop, log: log, timeout: announceTimeout}
+	if d.opts.leased != nil {
+		d.loop.leased = &leasedDriver{loop: d.loop, core: lease.New(lease.Config{}), worker: d.opts.leased}
+		d.announce.timeout = leasedAnnounceTimeout
+	}
 	server.Handle("POST /v1/announce", http.HandlerFunc(d.announce.announce))
 	server.Handle("POST /v1/leave", http.HandlerFunc(d.announce.leave))
 	if m := d.opts.metrics; m != nil {
@@ -62,6 +68,9 @@
 // before Run.
 func (d *Daemon) CountMessages(c *linkpb.Counter) { d.counter = c }
 
+// SetEntries replaces the entry addresses of the settings.
+func (d *Daemon) SetEntries(addresses []string) { d.roster.configure(addresses) }
+
 // Revision returns the table revision in force.
 func (d *Daemon) Revision() uint64 { return d.loop.revision.Load() }
 
@@ -110,7 +119,7 @@
 	d.roster.start = func(ctx context.Context, address string) {
 		k := &linker{
 			loop: d.loop, log: d.log, client: client, address: address, identity: d.identity, counter: d.counter,
-			url: d.opts.scheme() + "://" + address, clock: func() time.Duration { return time.Since(d.epoch) },
+			url: d.opts.scheme() + "://" + address, clock: func() time.Duration { return clock.Now().Sub(d.epoch) },
 			roster: d.roster,
 		}
 		go func() {
--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"reflect"
 	"time"
 
 	"connectrpc.com/connect"
@@ -128,7 +129,7 @@
 func (k *linker) repeatHello(box *outgoing, first msg.Hello) {
 	latest := k.loop.core.Hello()
 	latest.Report, first.Report = msg.Slots{}, msg.Slots{}
-	if latest != first {
+	if !reflect.DeepEqual(latest, first) {
 		box.put(k.loop.core.Hello())
 	}
 }
--- a/internal/agentd/loop.go
+++ b/internal/agentd/loop.go
@@ -9,7 +9,9 @@
 
 	"go.uber.org/zap"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/agent"
+	"github.com/poplarlever/poplarlever/internal/core/lease"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/logevent"
 	"github.com/poplarlever/poplarlever/internal/telemetry"
@@ -17,7 +19,7 @@
 
 const (
 	// tickInterval is how often timeouts are checked.
-	tickInterval = 50 * time.Millisecond
+	tickInterval = 20 * time.Millisecond
 	// inputBacklog is the number of inputs that may wait for the core.
 	inputBacklog = 1024
 )
@@ -29,6 +31,8 @@
 	stopped  chan struct{}
 	links    map[msg.Incarnation]*outgoing
 	endpoint *endpointClient
+	// leased is nil for an endpoint without a lease.
+	leased *leasedDriver
 	// revision is the table revision in force.
 	revision atomic.Uint64
 	// metrics is nil when the process exports none.
@@ -68,9 +72,9 @@
 	for {
 		select {
 		case f := <-l.inputs:
-			f(time.Now())
-		case now := <-ticker.C:
-			l.core.Tick(now)
+			f(clock.Now())
+		case <-ticker.C:
+			l.tick(clock.Now())
 		case <-ctx.Done():
 			return
 		}
@@ -78,8 +82,23 @@
 	}
 }
 
-// carryOut does what the core asked for.
+func (l *loop) tick(now time.Time) {
+	l.core.Tick(now)
+	if l.leased != nil {
+		l.leased.core.Tick(now)
+	}
+}
+
+// carryOut does what the cores asked for.
 func (l *loop) carryOut() {
+	l.carryOutAgent()
+	for l.leased != nil && l.leased.carryOut(clock.Now()) {
+		l.carryOutAgent()
+	}
+}
+
+// carryOutAgent does what the agent core asked for.
+func (l *loop) carryOutAgent() {
 	for _, out := range l.core.Drain() {
 		l.count(out)
 		switch out := out.(type) {
@@ -95,9 +114,15 @@
 			logevent.EntryConflict.Log(l.log, zap.String("entry", out.Name),
 				zap.Uint64("current", uint64(out.Current)), zap.Uint64("late", uint64(out.Late)))
 		case agent.Start:
+			if out.Leased {
+				l.leased.begin(clock.Now(), out)
+				continue
+			}
 			go l.runTask(out)
+		case agent.StopTask:
+			l.leased.core.Step(clock.Now(), lease.End{Attempt: out.Attempt})
 		case agent.ApplyTable:
-			l.core.Step(time.Now(), agent.RevisionChanged(out))
+			l.core.Step(clock.Now(), agent.RevisionChanged(out))
 			l.revision.Store(max(l.revision.Load(), out.Revision))
 		}
 	}
--- a/internal/agentd/options.go
+++ b/internal/agentd/options.go
@@ -15,6 +15,7 @@
 	readyDelay time.Duration
 	metrics    *telemetry.Metrics
 	clientTLS  *tls.Config
+	leased     LeasedWorker
 }
 
 func newOptions(with []Option) options {
@@ -42,6 +43,11 @@
 	return func(o *options) { o.readyDelay = delay }
 }
 
+// WithLeasedWorker makes the agent run tasks under a lease at a worker, instead
+// of at an endpoint with the product's own interface. What the worker says of
+// itself is given to Announced and Left.
+func WithLeasedWorker(w LeasedWorker) Option { return func(o *options) { o.leased = w } }
+
 // WithMetrics exports metrics on /metrics.
 func WithMetrics(m *telemetry.Metrics) Option { return func(o *options) { o.metrics = m } }
 
--- a/internal/agentd/roster.go
+++ b/internal/agentd/roster.go
@@ -42,11 +42,26 @@
 }
 
 func newRoster(worker string, addresses []string, limit int) *roster {
-	r := &roster{worker: worker, limit: limit, dialled: make(map[string]*dialled), aliases: make(map[string]string)}
-	for _, a := range addresses {
-		r.configured = append(r.configured, msg.Peer{Address: a})
+	return &roster{
+		worker: worker, limit: limit, configured: peersAt(addresses),
+		dialled: make(map[string]*dialled), aliases: make(map[string]string),
 	}
-	return r
+}
+
+func peersAt(addresses []string) []msg.Peer {
+	peers := make([]msg.Peer, len(addresses))
+	for i, a := range addresses {
+		peers[i].Address = a
+	}
+	return peers
+}
+
+// configure replaces the addresses of the settings.
+func (r *roster) configure(addresses []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.configured = peersAt(addresses)
+	r.choose()
 }
 
 // run starts the first links.
--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -22,9 +22,7 @@
 			&cli.IntFlag{Name: "links", Usage: "number of entries to link to"},
 		),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			s, err := settings.LoadAgent(cmd.String("settings"), func(s *settings.Agent) []settings.Override {
-				return agentOverrides(cmd, s)
-			})
+			s, err := loadAgent(cmd)
 			if err != nil {
 				return err
 			}
@@ -38,6 +36,13 @@
 			}
 			ctx, stop := stopSignals(ctx, a.Hurry)
 			defer stop()
+			onReload(ctx, func() {
+				fresh, err := loadAgent(cmd)
+				if err == nil {
+					a.SetEntries(fresh.Entries)
+				}
+				reloaded(log, err)
+			})
 			err = a.Run(ctx, s.StopLimit.Duration)
 			if errorx.IsOfType(err, agentd.ErrDuplicateWorker) {
 				return s.Source.Fault("worker", err)
@@ -47,6 +52,10 @@
 	}
 }
 
+func loadAgent(cmd *cli.Command) (settings.Agent, error) {
+	return settings.LoadAgent(cmd.String("settings"), func(s *settings.Agent) []settings.Override { return agentOverrides(cmd, s) })
+}
+
 func agentOverrides(cmd *cli.Command, s *settings.Agent) []settings.Override {
 	list := append(processOverrides(cmd, &s.Listen, &s.FailureDomain, &s.StopLimit, &s.Log),
 		overrides(cmd, map[string]*string{"worker": &s.Worker})...)
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -24,9 +24,7 @@
 			&cli.StringFlag{Name: "store", Usage: "`ADDRESS` of the platform's store"},
 		),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			s, err := settings.LoadEntry(cmd.String("settings"), func(s *settings.Entry) []settings.Override {
-				return entryOverrides(cmd, s)
-			})
+			s, err := loadEntry(cmd)
 			if err != nil {
 				return err
 			}
@@ -40,6 +38,13 @@
 			}
 			ctx, stop := stopSignals(ctx, d.Hurry)
 			defer stop()
+			onReload(ctx, func() {
+				fresh, err := loadEntry(cmd)
+				if err == nil {
+					d.SetSeeds(fresh.Peers)
+				}
+				reloaded(log, err)
+			})
 			err = d.Run(ctx, s.StopLimit.Duration)
 			if errorx.IsOfType(err, entryd.ErrDuplicateEntry) {
 				return s.Source.Fault("name", err)
@@ -49,6 +54,10 @@
 	}
 }
 
+func loadEntry(cmd *cli.Command) (settings.Entry, error) {
+	return settings.LoadEntry(cmd.String("settings"), func(s *settings.Entry) []settings.Override { return entryOverrides(cmd, s) })
+}
+
 func entryOverrides(cmd *cli.Command, s *settings.Entry) []settings.Override {
 	list := append(processOverrides(cmd, &s.Listen, &s.FailureDomain, &s.StopLimit, &s.Log),
 		overrides(cmd, map[string]*string{
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -8,14 +8,17 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/entryd"
+	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/membership"
+	"github.com/poplarlever/poplarlever/internal/settings"
 	"github.com/poplarlever/poplarlever/internal/store"
+	"github.com/poplarlever/poplarlever/platform"
 )
 
 // platformOptions say where an entry finds its table and the other entries.
 type platformOptions struct {
-	// store is the address of the platform's store; empty means none.
-	store string
+	// store is the platform's store; nil means none.
+	store store.Store
 	// peers are addresses of entries to ask when the store is down.
 	peers []string
 	// advertise is the address for others; the listening one when empty.
@@ -25,6 +28,36 @@
 	tls *tls.Config
 }
 
+// storeClient returns the client for the settings, or nil without an address.
+func storeClient(s settings.Store) store.Store {
+	switch {
+	case s.Address == "":
+		return nil
+	case s.Protocol == settings.ProtocolPlatform:
+		return platform.NewStore(s.Address)
+	}
+	return store.NewClient(s.Address)
+}
+
+// attachPlatform serves the clients and the balancer of the users' platform at
+// the addresses of the settings.
+func attachPlatform(d *entryd.Daemon, s settings.Entry) error {
+	for key, address := range map[string]string{"platform.callers": s.Platform.Callers, "platform.readiness": s.Platform.Readiness} {
+		if address == "" {
+			continue
+		}
+		server, err := httpserver.Listen(address)
+		if err != nil {
+			return s.Source.Fault(key, err)
+		}
+		if key == "platform.callers" {
+			server.Handle("/", platform.NewJobs(d.FrontDoor()))
+		}
+		d.Attach(server)
+	}
+	return nil
+}
+
 // joinPlatform gives the entry its source of configuration.
 func joinPlatform(d *entryd.Daemon, name string, incarnation msg.Incarnation, o platformOptions, log *zap.Logger) {
 	cfg := entryd.PlatformConfig{
@@ -37,8 +70,6 @@
 	if o.advertise == "" {
 		cfg.Self.Address = d.Address()
 	}
-	if o.store != "" {
-		cfg.Store = store.NewClient(o.store)
-	}
+	cfg.Store = o.store
 	d.Join(entryd.NewPlatform(cfg))
 }
--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -6,8 +6,10 @@
 	"go.uber.org/zap"
 
 	"github.com/poplarlever/poplarlever/internal/agentd"
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/agent"
 	"github.com/poplarlever/poplarlever/internal/core/entry"
+	"github.com/poplarlever/poplarlever/internal/core/lease"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/entryd"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
@@ -15,6 +17,7 @@
 	"github.com/poplarlever/poplarlever/internal/settings"
 	"github.com/poplarlever/poplarlever/internal/telemetry"
 	"github.com/poplarlever/poplarlever/internal/tlsconfig"
+	"github.com/poplarlever/poplarlever/platform"
 )
 
 // builtAgent is an agent together with the server that its endpoint uses.
@@ -35,7 +38,7 @@
 // epoch is the zero of an agent's clock.
 type epoch time.Time
 
-func newEpoch() epoch { return epoch(time.Now()) }
+func newEpoch() epoch { return epoch(clock.Now()) }
 
 func entryTLS(s settings.Entry) (tlsconfig.Config, error) { return tlsconfig.Load(s.TLS, s.Source) }
 
@@ -72,6 +75,7 @@
 func agentConfig(s settings.Agent, incarnation msg.Incarnation, zero epoch) agent.Config {
 	return agent.Config{
 		Worker: s.Worker, FailureDomain: s.FailureDomain, Incarnation: incarnation, Epoch: time.Time(zero),
+		LeaseTail:  lease.Tail(lease.Config{}),
 		ResultKeep: s.Timing.ResultKeep.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
 	}
 }
@@ -103,13 +107,21 @@
 		return d, err
 	}
 	joinPlatform(d, s.Name, incarnation, platformOptions{
-		store: s.Store.Address, peers: s.Peers, advertise: s.Advertise, failureDomain: s.FailureDomain,
+		store: storeClient(s.Store), peers: s.Peers, advertise: s.Advertise, failureDomain: s.FailureDomain,
 		tls: t.Client,
 	}, log)
-	return d, nil
+	return d, attachPlatform(d, s)
 }
 
 func agentDaemon(s settings.Agent, core *agent.Core, zero epoch, server *httpserver.Server, t tlsconfig.Config, m *telemetry.Metrics, log *zap.Logger) *agentd.Daemon {
-	return agentd.New(core, s.Worker, time.Time(zero), s.Entries, server, log, agentd.WithLinks(s.Links),
-		agentd.WithReadyDelay(s.ReadyDelay.Duration), agentd.WithMetrics(m), agentd.WithClientTLS(t.Client))
+	options := []agentd.Option{
+		agentd.WithLinks(s.Links), agentd.WithReadyDelay(s.ReadyDelay.Duration), agentd.WithMetrics(m), agentd.WithClientTLS(t.Client),
+	}
+	if s.Platform.Service == "" {
+		return agentd.New(core, s.Worker, time.Time(zero), s.Entries, server, log, options...)
+	}
+	worker := platform.NewWorker()
+	d := agentd.New(core, s.Worker, time.Time(zero), s.Entries, server, log, append(options, agentd.WithLeasedWorker(worker))...)
+	platform.NewAnnouncements(d, worker, s.Platform.Service).Register(server.Handle)
+	return d
 }
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +33,11 @@
 	readiness sync.Mutex
 	stopping  bool
 	links     *linkService
+	jobs      *runner
+	// policy is what routes of adapters are taken from.
+	policy atomic.Pointer[entry.Policy]
+	// attached are the servers of adapters.
+	attached []*httpserver.Server
 
 	begun      time.Time
 	metricsErr error
@@ -55,6 +61,7 @@
 	d.loop.log = log
 	d.loop.metrics, d.counts.metrics = o.metrics, o.metrics
 	jobs := &runner{loop: d.loop, names: newJobNames(), jobTimeout: o.limits.JobTimeout}
+	d.jobs = jobs
 	d.keyed = newKeyedRequests(o, jobs, log)
 	d.guard = d.newCallers(o, jobs)
 	server.Handle(callersPath, d.guard)
@@ -75,6 +82,7 @@
 // SetPolicy puts a table revision in force.
 func (d *Daemon) SetPolicy(p entry.Policy) {
 	d.tokens.setPolicy(p)
+	d.policy.Store(&p)
 	d.loop.step(entry.SetPolicy{Policy: p})
 }
 
@@ -96,8 +104,9 @@
 	go d.loop.run(loopCtx)
 	go d.expireKeys(loopCtx)
 	var duplicate error
-	serveErr := make(chan error, 1)
+	serveErr := make(chan error, 1+len(d.attached))
 	go func() { serveErr <- d.server.Serve() }()
+	d.serveAttached(serveErr)
 	ctx, leave := context.WithCancel(ctx)
 	defer leave()
 	waitPlatform := d.runPlatform(ctx)
@@ -114,6 +123,9 @@
 	waitPlatform()
 	stopLoop()
 	<-d.loop.stopped
+	if err := d.closeAttached(); err != nil {
+		return err
+	}
 	if err := d.closeServer(); err != nil {
 		return err
 	}
--- a/internal/entryd/exchange.go
+++ b/internal/entryd/exchange.go
@@ -96,7 +96,7 @@
 func (p *Platform) addresses() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	addresses := append(p.list.Candidates(), p.cfg.Seeds...)
+	addresses := append(p.list.Candidates(), p.seeds...)
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
 	return slices.DeleteFunc(addresses, func(a string) bool { return a == p.cfg.Self.Address })
--- a/internal/entryd/join.go
+++ b/internal/entryd/join.go
@@ -23,6 +23,13 @@
 	d.server.Handle(poplarleverv1connect.NewPeerHandler(p))
 }
 
+// SetSeeds replaces the addresses of entries to ask when the store is down.
+func (d *Daemon) SetSeeds(addresses []string) {
+	if d.platform != nil {
+		d.platform.SetSeeds(addresses)
+	}
+}
+
 // runPlatform starts the platform and returns a function that waits for its
 // end. The platform ends with ctx, so that a stopping entry is no longer
 // listed and does not become ready again.
@@ -48,4 +55,7 @@
 	defer d.readiness.Unlock()
 	d.stopping = d.stopping || !ready
 	d.server.SetReady(!d.stopping)
+	for _, s := range d.attached {
+		s.SetReady(!d.stopping)
+	}
 }
--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/logevent"
 	"github.com/poplarlever/poplarlever/internal/telemetry"
@@ -90,11 +91,11 @@
 	for {
 		select {
 		case f := <-l.inputs:
-			f(time.Now())
-		case now := <-ticker.C:
-			l.core.Tick(now)
+			f(clock.Now())
+		case <-ticker.C:
+			l.core.Tick(clock.Now())
 		case <-ctx.Done():
-			l.core.Step(time.Now(), entry.StopNow{})
+			l.core.Step(clock.Now(), entry.StopNow{})
 			l.carryOut()
 			l.closeLinks()
 			return
--- a/internal/entryd/platform.go
+++ b/internal/entryd/platform.go
@@ -72,9 +72,11 @@
 
 	mu      sync.Mutex
 	inForce tablestore.InForce
-	mirror  *membership.Mirror
-	list    *membership.List
-	peers   []msg.Peer
+	// seeds are addresses of entries to ask when the store is down.
+	seeds  []string
+	mirror *membership.Mirror
+	list   *membership.List
+	peers  []msg.Peer
 	// holding is true until the store and the peers have been asked once; what
 	// arrives is kept in held, so that the first revision applied is the newest.
 	holding bool
@@ -96,12 +98,19 @@
 	return &Platform{
 		cfg: cfg, client: client, elder: make(chan membership.Member, 1), exchange: newExchange(client, cfg.TLS != nil),
 		apply: func(entry.Policy) {}, setPeers: func([]msg.Peer) {},
-		mirror: membership.NewMirror(), list: membership.New(cfg.Self), holding: true,
+		seeds: cfg.Seeds, mirror: membership.NewMirror(), list: membership.New(cfg.Self), holding: true,
 		revisions: make(map[string]uint64), changed: make(chan struct{}, 1),
 		budget: store.Budget{PerSecond: retryRate, Burst: retryBurst},
 	}
 }
 
+// SetSeeds replaces the addresses of entries to ask when the store is down.
+func (p *Platform) SetSeeds(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = addresses
+}
+
 // Revision returns the revision in force, zero without any.
 func (p *Platform) Revision() uint64 {
 	p.mu.Lock()
@@ -232,7 +241,7 @@
 		p.cfg.Hooks.StoreCall(err)
 	}
 	reach := uint32(storeSilent)
-	if err == nil || store.IsConflict(err) || store.IsNotFound(err) {
+	if err == nil || store.IsConflict(err) || store.IsNotFound(err) || store.IsHistoryGone(err) {
 		reach = storeAnswers
 	}
 	switch {
--- a/internal/entryd/run.go
+++ b/internal/entryd/run.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
@@ -26,12 +27,19 @@
 	if refusal != nil {
 		return *refusal
 	}
+	job.Deadline = clock.Now().Add(time.Until(job.Deadline))
 	job.ID = r.last.Add(1)
 	name := jobName{req.GetAccount(), req.GetJobId()}
-	if !r.names.add(name, job.ID) {
+	if r.names.claim(name, job.ID) != nil {
 		return refuse(verdict.DuplicateJob, "a job with this id is in progress")
 	}
-	defer r.names.remove(name)
+	answer := r.give(ctx, job, report)
+	r.names.end(name, answer)
+	return answer
+}
+
+// give hands the job to the core and waits for its answer.
+func (r *runner) give(ctx context.Context, job entry.Job, report func(entry.Progress) error) entry.Answer {
 	w := &waiter{began: time.Now(), answer: make(chan entry.Answer, 1)}
 	if report != nil {
 		w.progress = make(chan entry.Progress, 1)
--- a/internal/entryd/storewatch.go
+++ b/internal/entryd/storewatch.go
@@ -58,6 +58,9 @@
 		return ctx.Err()
 	}
 	p.storeCall(ctx, err)
+	if store.IsHistoryGone(err) {
+		return p.load(ctx)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -29,6 +29,8 @@
 	ProcessStarted   = define(1001, "process_started", zap.InfoLevel, "process started")
 	ProcessStopping  = define(1002, "process_stopping", zap.InfoLevel, "planned stop began")
 	ProcessStopped   = define(1003, "process_stopped", zap.InfoLevel, "process stopped")
+	SettingsReloaded = define(1004, "settings_reloaded", zap.InfoLevel, "the settings were read again")
+	SettingsRejected = define(1005, "settings_rejected", zap.ErrorLevel, "the settings could not be applied; the ones before stay in force")
 	WorkerLinked     = define(2001, "worker_linked", zap.InfoLevel, "an agent opened a link")
 	WorkerUnlinked   = define(2002, "worker_unlinked", zap.WarnLevel, "the link to an agent broke")
 	LinkMalformed    = define(2003, "link_malformed", zap.WarnLevel, "a message on a link could not be decoded")
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -31,6 +31,15 @@
 	}
 }
 
+func optionalName(value *string) func() error {
+	return func() error {
+		if *value == "" {
+			return nil
+		}
+		return required(value)()
+	}
+}
+
 func between(value *int, low, high int) func() error {
 	return func() error {
 		if *value < low || *value > high {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -39,6 +39,7 @@
 		Listen: DefaultEntryListen, Authentication: AuthenticationToken,
 		StopLimit: Duration{DefaultStopLimit}, ReadyDelay: Duration{DefaultReadyDelay},
 		TLS: TLS{Mode: TLSOff}, Log: Log{Format: DefaultLogFormat, Level: DefaultLogLevel},
+		Store: Store{Protocol: ProtocolNative},
 		Limits: EntryLimits{
 			MaxQueued: DefaultMaxQueued, MaxTasks: DefaultMaxTasks, MaxPayload: Bytes{DefaultMaxPayload},
 		},
@@ -56,6 +57,7 @@
 		Listen: DefaultAgentListen, Entries: []string{DefaultEntryListen}, Links: DefaultLinks,
 		StopLimit: Duration{DefaultStopLimit}, ReadyDelay: Duration{DefaultReadyDelay},
 		TLS: TLS{Mode: TLSOff}, Log: Log{Format: DefaultLogFormat, Level: DefaultLogLevel},
+		Store: Store{Protocol: ProtocolNative},
 		Timing: AgentTiming{
 			ResultKeep: Duration{DefaultResultKeep}, HeartbeatInterval: Duration{DefaultHeartbeatInterval},
 		},
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -28,10 +28,14 @@
 		{"listen", "Address for callers, agents, operators and metrics.", &s.Listen, address(&s.Listen), ""},
 		{"advertise", "Address that agents reach this entry at; empty means the listen address.", &s.Advertise, optionalAddress(&s.Advertise), ""},
 		{"peers", "Addresses of entries to ask for the table when the store is down; may be empty.", &s.Peers, optionalAddresses(&s.Peers), ""},
-		authentication(&s.Authentication, &s.Listen),
+		insecureNetwork(&s.InsecureNetwork, "TLS and callers' tokens"),
+		authentication(&s.Authentication, &s.Listen, &s.InsecureNetwork),
 		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay),
 		{"store.address", "Address of the platform's store. Without store and peers the built-in table is in force.", &s.Store.Address, optionalAddress(&s.Store.Address), ""},
-		tlsMode(&s.TLS, func() []string { return append([]string{s.Listen, s.Advertise}, s.Peers...) }),
+		storeProtocol(&s.Store),
+		{"platform.callers", "Address for clients of the users' platform; empty means none.", &s.Platform.Callers, optionalAddress(&s.Platform.Callers), ""},
+		{"platform.readiness", "Address of a second readiness page, for the platform's balancer; empty means none.", &s.Platform.Readiness, optionalAddress(&s.Platform.Readiness), ""},
+		tlsMode(&s.TLS, &s.InsecureNetwork, func() []string { return append([]string{s.Listen, s.Advertise}, s.Peers...) }),
 		tlsFile("certificate", "PEM file with this process's certificate.", &s.TLS, &s.TLS.Certificate),
 		tlsFile("key", "PEM file with the certificate's private key.", &s.TLS, &s.TLS.Key),
 		tlsFile("ca", "PEM file with the authority that signs the certificates of all processes.", &s.TLS, &s.TLS.CA),
@@ -54,10 +58,19 @@
 		{"worker", "Name of the worker that this agent runs on, unique among all workers.", &s.Worker, required(&s.Worker), "worker-1"},
 		failureDomain(&s.FailureDomain, &s.Listen),
 		{"listen", "Address for the endpoint on this VM and for metrics.", &s.Listen, address(&s.Listen), ""},
-		{"entries", "Addresses of a few entries.", &s.Entries, addresses(&s.Entries), ""},
+		{"entries", "Addresses of a few entries; may be empty with store.address.", &s.Entries, func() error {
+			if len(s.Entries) == 0 && s.Store.Address == "" {
+				return errMissing
+			}
+			return optionalAddresses(&s.Entries)()
+		}, ""},
 		{"links", "Number of entries that this agent links to.", &s.Links, between(&s.Links, 1, 64), ""},
+		insecureNetwork(&s.InsecureNetwork, "TLS"),
 		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay),
-		tlsMode(&s.TLS, func() []string { return append([]string{s.Listen}, s.Entries...) }),
+		{"store.address", "Address of the platform's store, where the agent finds entries; empty means none.", &s.Store.Address, optionalAddress(&s.Store.Address), ""},
+		storeProtocol(&s.Store),
+		{"platform.service", "Service of this VM's worker of the users' platform; empty means an endpoint with the product's own interface.", &s.Platform.Service, optionalName(&s.Platform.Service), ""},
+		tlsMode(&s.TLS, &s.InsecureNetwork, func() []string { return append([]string{s.Listen}, s.Entries...) }),
 		tlsFile("certificate", "PEM file with this process's certificate.", &s.TLS, &s.TLS.Certificate),
 		tlsFile("key", "PEM file with the certificate's private key.", &s.TLS, &s.TLS.Key),
 		tlsFile("ca", "PEM file with the authority that signs the certificates of all processes.", &s.TLS, &s.TLS.CA),
@@ -80,12 +93,20 @@
 	}, LocalFailureDomain}
 }
 
-func authentication(mode, listen *string) Field {
-	return Field{"authentication", "\"token\" or \"off\": whether callers need their client account's token; \"off\" is allowed only on a loopback address.", mode, func() error {
+func insecureNetwork(value *bool, what string) Field {
+	return Field{"insecure_network", "true gives up " + what + " on addresses that others can reach: whoever reaches them can read and send everything.", value, func() error { return nil }, ""}
+}
+
+func storeProtocol(s *Store) Field {
+	return Field{"store.protocol", "\"native\" or \"platform\": the protocol of the store.", &s.Protocol, oneOf(&s.Protocol, ProtocolNative, ProtocolPlatform), ""}
+}
+
+func authentication(mode, listen *string, insecure *bool) Field {
+	return Field{"authentication", "\"token\" or \"off\": whether callers need their client account's token; \"off\" is allowed only on a loopback address or with insecure_network.", mode, func() error {
 		if err := oneOf(mode, AuthenticationToken, AuthenticationOff)(); err != nil {
 			return err
 		}
-		if *mode == AuthenticationOff && !loopback(*listen) {
+		if *mode == AuthenticationOff && !*insecure && !loopback(*listen) {
 			return fault("%q needs a loopback address, and %s is none", AuthenticationOff, *listen)
 		}
 		return nil
@@ -100,13 +121,13 @@
 	return Field{"ready_delay", "At a planned stop, how long /readyz answers 503 before work is refused, so that the balancer notices.", d, within(d, 0, 5*time.Minute), ""}
 }
 
-func tlsMode(t *TLS, all func() []string) Field {
-	return Field{"tls.mode", "\"on\" or \"off\"; \"off\" is allowed only when all addresses are loopback addresses.", &t.Mode, func() error {
+func tlsMode(t *TLS, insecure *bool, all func() []string) Field {
+	return Field{"tls.mode", "\"on\" or \"off\"; \"off\" is allowed only when all addresses are loopback addresses, or with insecure_network.", &t.Mode, func() error {
 		if err := oneOf(&t.Mode, TLSOn, TLSOff)(); err != nil {
 			return err
 		}
 		for _, a := range all() {
-			if t.Mode == TLSOff && a != "" && !loopback(a) {
+			if t.Mode == TLSOff && !*insecure && a != "" && !loopback(a) {
 				return fault("%q needs loopback addresses, and %s is none", TLSOff, a)
 			}
 		}
--- a/internal/settings/print.go
+++ b/internal/settings/print.go
@@ -47,6 +47,8 @@
 			return strconv.Quote(f.example)
 		}
 		return strconv.Quote(*v)
+	case *bool:
+		return strconv.FormatBool(*v)
 	case *int:
 		return strconv.Itoa(*v)
 	case *[]string:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,7 +33,10 @@
 	TLS            TLS         `toml:"tls"`
 	Log            Log         `toml:"log"`
 	Limits         EntryLimits `toml:"limits"`
-	Timing         EntryTiming `toml:"timing"`
+	// InsecureNetwork gives up TLS and tokens on addresses that others can reach.
+	InsecureNetwork bool          `toml:"insecure_network"`
+	Platform        EntryPlatform `toml:"platform"`
+	Timing          EntryTiming   `toml:"timing"`
 	// Source tells where each value came from, for later errors.
 	Source Source `toml:"-"`
 }
@@ -50,6 +53,10 @@
 	TLS           TLS         `toml:"tls"`
 	Log           Log         `toml:"log"`
 	Timing        AgentTiming `toml:"timing"`
+	// InsecureNetwork gives up TLS on addresses that others can reach.
+	InsecureNetwork bool          `toml:"insecure_network"`
+	Store           Store         `toml:"store"`
+	Platform        AgentPlatform `toml:"platform"`
 	// Source tells where each value came from, for later errors.
 	Source Source `toml:"-"`
 }
@@ -57,6 +64,31 @@
 // Store is where the platform's key-value store is reached.
 type Store struct {
 	Address string `toml:"address"`
+	// Protocol is ProtocolNative or ProtocolPlatform.
+	Protocol string `toml:"protocol"`
+}
+
+// Protocols of the store.
+const (
+	// ProtocolNative is that of the stand-in store.
+	ProtocolNative = "native"
+	// ProtocolPlatform is that of the users' platform.
+	ProtocolPlatform = "platform"
+)
+
+// EntryPlatform says where an entry serves the users' platform.
+type EntryPlatform struct {
+	// Callers is the address for the platform's clients, Readiness the one that its
+	// balancer asks.
+	Callers   string `toml:"callers"`
+	Readiness string `toml:"readiness"`
+}
+
+// AgentPlatform says how an agent serves a worker of the users' platform.
+type AgentPlatform struct {
+	// Service is the one that the VM's worker belongs to; empty means that the
+	// endpoint speaks the product's own interface.
+	Service string `toml:"service"`
 }
 
 // TLS holds the mode and the PEM files of one process.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -79,6 +79,9 @@
 	ErrUnavailable = errors.NewType("unavailable")
 	// ErrOutcomeUnknown means that a write may or may not have taken effect.
 	ErrOutcomeUnknown = errors.NewType("outcome_unknown")
+	// ErrHistoryGone means that a watch asked for changes that the store no longer
+	// has; the state has to be listed anew.
+	ErrHistoryGone = errors.NewType("history_gone")
 	// ErrTooLarge means that the value is larger than MaxValue.
 	ErrTooLarge = errors.NewType("too_large")
 )
@@ -89,6 +92,9 @@
 // IsConflict tells whether the error is ErrConflict.
 func IsConflict(err error) bool { return errorx.IsOfType(err, ErrConflict) }
 
+// IsHistoryGone tells whether the error is ErrHistoryGone.
+func IsHistoryGone(err error) bool { return errorx.IsOfType(err, ErrHistoryGone) }
+
 // IsUnavailable tells whether the error is ErrUnavailable.
 func IsUnavailable(err error) bool { return errorx.IsOfType(err, ErrUnavailable) }
 
