Ignore SIGHUP once a planned stop has begun

Cause: the handler of SIGHUP was taken away when the stop began, and the default action then ended the process in the middle of its requests. Change: a stopping process ignores SIGHUP, and so does one that has not read its settings yet. Connections end with their next answer once a stop begins.

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -22,6 +22,7 @@
 			&cli.IntFlag{Name: "links", Usage: "number of entries to link to"},
 		),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
+			ignoreReload()
 			s, err := loadAgent(cmd)
 			if err != nil {
 				return err
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -24,6 +24,7 @@
 			&cli.StringFlag{Name: "store", Usage: "`ADDRESS` of the platform's store"},
 		),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
+			ignoreReload()
 			s, err := loadEntry(cmd)
 			if err != nil {
 				return err
--- a/internal/command/signals.go
+++ b/internal/command/signals.go
@@ -16,18 +16,22 @@
 	return signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 }
 
-// onReload calls reload at each SIGHUP until the context ends. The process would
-// end at the signal otherwise.
+// ignoreReload ignores SIGHUP until onReload is called. The settings are read
+// after the call, so nothing is missed.
+func ignoreReload() { signal.Ignore(syscall.SIGHUP) }
+
+// onReload calls reload at each SIGHUP until the context ends. Later ones are
+// ignored: the default action would end a process in the middle of its stop.
 func onReload(ctx context.Context, reload func()) {
 	received := make(chan os.Signal, 1)
 	signal.Notify(received, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(received)
 		for {
 			select {
 			case <-received:
 				reload()
 			case <-ctx.Done():
+				signal.Ignore(syscall.SIGHUP)
 				return
 			}
 		}
--- a/internal/entryd/stop.go
+++ b/internal/entryd/stop.go
@@ -30,6 +30,9 @@
 func (d *Daemon) drain(limit time.Duration) error {
 	logevent.ProcessStopping.Log(d.log)
 	d.setReady(false)
+	for _, s := range d.attached {
+		s.EndConnections()
+	}
 	end := time.Now().Add(limit)
 	d.pause(min(d.opts.readyDelay, limit))
 	d.keyed.draining.Store(true)
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -27,6 +27,7 @@
 	server   *http.Server
 	listener net.Listener
 	ready    atomic.Bool
+	closing  atomic.Bool
 }
 
 // Listen opens the address. It returns the error of net.Listen, for example
@@ -44,7 +45,7 @@
 	s.mux.HandleFunc("GET /readyz", s.serveReady)
 	recovery := negroni.NewRecovery()
 	recovery.PrintStack = false
-	n := negroni.New(recovery)
+	n := negroni.New(recovery, negroni.HandlerFunc(s.closeConnection))
 	n.UseHandler(s.mux)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
@@ -69,6 +70,18 @@
 	}
 }
 
+// EndConnections makes each connection of HTTP/1 end with its next answer, so
+// that its client opens the next one elsewhere. Idle connections stay open: a
+// request may be on its way on them.
+func (s *Server) EndConnections() { s.closing.Store(true) }
+
+func (s *Server) closeConnection(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	if s.closing.Load() && r.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
+	next(w, r)
+}
+
 // Serve answers requests until Shutdown or Close.
 func (s *Server) Serve() error {
 	var err error
