--- a/internal/core/lease/random_test.go
+++ b/internal/core/lease/random_test.go
@@ -35,6 +35,10 @@
 	ends  map[msg.ResultKind]int
 	tasks int
 	calm  bool
+	// cutUntil is the end of a time in which every call is lost or late.
+	cutUntil time.Time
+	// orphans are the open attempts of earlier processes.
+	orphans map[msg.AttemptID]string
 }
 
 type event struct {
@@ -73,12 +77,15 @@
 // newWorker begins a new life of the worker.
 func (w *world) newWorker() {
 	w.lives++
-	w.worker = worker.New(lease.Life{ID: "i-1", Born: w.lives}, w.now, 4, w.work)
+	w.worker = worker.New(lease.Life{ID: "i-1", Born: w.lives}, w.now, 8, w.work)
 }
 
 // newAgent begins a new agent process.
 func (w *world) newAgent() {
 	w.process++
+	for id, task := range w.open {
+		w.orphans[id] = task
+	}
 	w.core, w.open = lease.New(lease.Config{}), make(map[msg.AttemptID]string)
 }
 
@@ -102,6 +109,9 @@
 		})
 	}
 	fault := w.rng.IntN(40)
+	if w.now.Before(w.cutUntil) {
+		fault = 1 + w.rng.IntN(2)
+	}
 	switch {
 	case !w.calm && fault == 0:
 		lost()
@@ -138,11 +148,26 @@
 	w.c.Assert(ok, qt.IsTrue, qt.Commentf("attempt %v ends again", e.Attempt))
 	delete(w.open, e.Attempt)
 	w.ends[e.Kind]++
+	w.markOver(e.Attempt, task)
+	w.checkOver()
+}
+
+func (w *world) markOver(id msg.AttemptID, task string) {
 	if w.over[task] == nil {
 		w.over[task] = make(map[uint32]bool)
 	}
-	w.over[task][e.Attempt.Attempt] = true
-	w.checkOver()
+	w.over[task][id.Attempt] = true
+}
+
+// settle marks the attempts of earlier processes as over once the core says so.
+func (w *world) settle() {
+	if !w.core.Settled() {
+		return
+	}
+	for id, task := range w.orphans {
+		w.markOver(id, task)
+		delete(w.orphans, id)
+	}
 }
 
 // checkOver checks that nothing runs that was called ended.
@@ -156,7 +181,7 @@
 
 func (w *world) begin() {
 	w.tasks++
-	task := fmt.Sprintf("task-%d", w.rng.IntN(12))
+	task := fmt.Sprintf("task-%d", w.rng.IntN(60))
 	w.runs[task]++
 	id := msg.AttemptID{Entry: 1, Job: uint64(w.tasks), Attempt: w.runs[task]}
 	w.open[id] = task
@@ -176,6 +201,7 @@
 		e := heap.Pop(&w.events).(event)
 		w.now = e.at
 		e.do()
+		w.settle()
 		w.checkOver()
 	}
 	w.now = end
@@ -198,8 +224,10 @@
 		w.newWorker()
 	case 1:
 		w.newAgent()
+	case 2:
+		w.cutUntil = w.now.Add(time.Duration(500+w.rng.IntN(3000)) * time.Millisecond)
 	}
-	w.after(time.Duration(w.rng.IntN(40))*time.Millisecond, w.load)
+	w.after(time.Duration(w.rng.IntN(120))*time.Millisecond, w.load)
 }
 
 // Guards against a task that is called ended, or never started, and runs: after
@@ -212,6 +240,7 @@
 		w := &world{
 			c: c, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
 			over: make(map[string]map[uint32]bool), runs: make(map[string]uint32), ends: make(map[msg.ResultKind]int),
+			orphans: make(map[msg.AttemptID]string),
 		}
 		w.newWorker()
 		w.newAgent()
