Keep a worker in use when the answer to one hold is lost

A start without an answer was noticed after 250 ms, longer than most jobs' slack. Change: a worker counts as silent after two holds in a row; the second renews nothing, so the lease's end stays. Starts and stops wait 60 ms, holds 100 ms less for ends.

--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -26,7 +26,9 @@
 func (c *Core) holdSteady() {
 	switch {
 	case len(c.byName) == 0 && len(c.strays) == 0 && c.acked == c.seen && !c.silent:
-	case c.silent, c.leaving, len(c.byName) == 0:
+	case c.unanswered > 0, c.leaving, len(c.byName) == 0:
+		// A worker that does not answer gets no longer lease: once it has lapsed,
+		// nothing runs there.
 		c.hold(Hold{Fence: c.fence, Seen: c.seen})
 	default:
 		c.hold(Hold{Fence: c.fence, Seen: c.seen, Until: c.renewal(), Wait: c.wait()})
@@ -84,14 +86,14 @@
 
 func (c *Core) holdAnswered(in Answer) {
 	switch in.Status {
-	case OK:
-		c.setSilent(false)
-		c.probeAt = time.Time{}
-	case Fenced:
+	case OK, Fenced:
+		c.unanswered, c.probeAt = 0, time.Time{}
 		c.setSilent(false)
 	default:
-		c.setSilent(true)
-		c.probeAt = c.now.Add(c.cfg.ProbePause)
+		if c.unanswered++; c.unanswered >= silentHolds {
+			c.setSilent(true)
+			c.probeAt = c.now.Add(c.cfg.ProbePause)
+		}
 		return
 	}
 	switch c.phase {
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -37,7 +37,7 @@
 // Defaults of Config for a worker that limits leases to a second.
 const (
 	DefaultTerm       = 900 * time.Millisecond
-	DefaultHoldWait   = 250 * time.Millisecond
+	DefaultHoldWait   = 100 * time.Millisecond
 	DefaultProbePause = 200 * time.Millisecond
 )
 
@@ -48,6 +48,9 @@
 	killTime = 60 * time.Millisecond
 	// tickSlack is what the caller's ticks may be late.
 	tickSlack = 100 * time.Millisecond
+	// silentHolds is the number of holds in a row without an answer after which the
+	// worker counts as silent. The answer to a single one may be lost.
+	silentHolds = 2
 	// missedHolds is the number of holds in a row that must lack a running task
 	// before it counts as lost.
 	missedHolds = 2
@@ -82,6 +85,8 @@
 	// silent is set while the worker does not answer holds. Its lease is then not
 	// renewed.
 	silent bool
+	// unanswered counts the holds in a row without an answer.
+	unanswered int
 	// leaving is set when the worker said that it ends now.
 	leaving bool
 	// seen is the number of the newest end that was taken note of, acked that of
