Start an entry without waiting for entries that are down

Change: store and entries are asked at once; once the store has answered, the others get 60 ms. A stale answer of the store is still outvoted by a live entry (TestOldDataNeverReverts). TestStartDoesNotWaitForDarkEntries fails without the change.

--- a/internal/entryd/platform.go
+++ b/internal/entryd/platform.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"crypto/tls"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -148,24 +149,51 @@
 	group.Wait()
 }
 
+// peerPatience is several round trips to a live entry.
+const peerPatience = 60 * time.Millisecond
+
 // bootstrapLimit bounds each of the two questions at start.
 const bootstrapLimit = time.Second
 
-// bootstrap asks the store and then every known entry, and puts the newest
-// revision among their answers in force.
+// bootstrap asks the store and every known entry at once, and puts the newest
+// revision among their answers in force. Once the store has answered, entries
+// that are down are not waited for.
 func (p *Platform) bootstrap(ctx context.Context) {
-	if p.cfg.Store != nil {
-		storeCtx, cancel := context.WithTimeout(ctx, bootstrapLimit)
-		_ = p.load(storeCtx)
-		cancel()
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		p.exchangeAll(ctx)
+	}()
+	wait := time.Duration(math.MaxInt64)
+	if p.loadFirst(ctx) {
+		wait = peerPatience
+	}
+	select {
+	case <-asked:
+	case <-time.After(wait):
 	}
-	p.exchangeAll(ctx)
 	p.release()
 	if p.Revision() == 0 {
 		logevent.RevisionUnknown.Log(p.cfg.Log)
 	}
 }
 
+// loadFirst reads the store once and tells whether it has a revision.
+func (p *Platform) loadFirst(ctx context.Context) bool {
+	if p.cfg.Store == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, bootstrapLimit)
+	defer cancel()
+	if p.load(ctx) != nil {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, found := p.storedContent()
+	return found
+}
+
 func (p *Platform) release() {
 	p.mu.Lock()
 	held := p.held
--- a/internal/entryd/platform_test.go
+++ b/internal/entryd/platform_test.go
@@ -95,7 +95,11 @@
 		defer e.mu.Unlock()
 		e.applied = append(e.applied, p.Revision)
 	}
-	e.exchange = func(_ context.Context, to string, req *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
+	e.exchange = func(ctx context.Context, to string, req *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
+		if to == darkAddress {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		peer := c.reach(to)
 		if peer == nil {
 			return nil, errorx.ExternalError.New("no such entry")
@@ -138,6 +142,21 @@
 	}
 }
 
+// darkAddress is that of a VM without power, which answers nothing.
+const darkAddress = "dark.1"
+
+// Guards against an entry that knows no table for a second after all VMs lost
+// power, because it waits for entries that are not back yet.
+func TestStartDoesNotWaitForDarkEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		want := c.put(1)
+		e := c.start("entry-0", 1, darkAddress)
+		time.Sleep(100 * time.Millisecond)
+		c.expectRevision(want, e)
+	})
+}
+
 // inForceLimit is the time within which a revision has to be in force.
 const inForceLimit = 3 * time.Second
 
