Make the test of kept cores notice a missing reserve

With these sizes it fails without the reserve, and without passing over a job that finds no room (both run on the code with the rule taken out).

--- a/internal/core/entry/leased_test.go
+++ b/internal/core/entry/leased_test.go
@@ -108,8 +108,8 @@
 func TestCoresAreKeptForUrgentJobs(t *testing.T) {
 	f := leasedFixture(t)
 	w := f.leased("w1", 32)
-	f.submitSized("patient", 3, 12)
-	f.c.Assert(f.dispatched()[w.link], qt.HasLen, 10)
+	f.submitSized("patient", 2, 20)
+	f.c.Assert(f.dispatched()[w.link], qt.HasLen, 15)
 	f.submitSized("urgent", 2, 1)
 	f.c.Assert(f.dispatched()[w.link], qt.HasLen, 1)
 }
