Let the test of kept cores notice a job that holds up others

With the urgent job submitted a tick later, both faults put in on purpose make it fail (run on this code).

--- a/internal/core/entry/leased_test.go
+++ b/internal/core/entry/leased_test.go
@@ -110,6 +110,7 @@
 	w := f.leased("w1", 32)
 	f.submitSized("patient", 2, 20)
 	f.c.Assert(f.dispatched()[w.link], qt.HasLen, 15)
+	f.now = f.now.Add(tick)
 	f.submitSized("urgent", 2, 1)
 	f.c.Assert(f.dispatched()[w.link], qt.HasLen, 1)
 }
