Clarify an unanswered start with a hold of its own

Cause: with 3 to 7% of the orders unanswered, each lost answer to a hold hid all ends of a worker for 250 ms, and a start without an answer waited for the next end to be clarified.

--- a/internal/core/lease/execution.go
+++ b/internal/core/lease/execution.go
@@ -44,6 +44,11 @@
 	missed int
 }
 
+// inDoubt tells whether a hold has to say if the worker has run the task.
+func (e *execution) inDoubt() bool {
+	return e.stopCall == 0 && (e.state == doubtful && !e.stopWanted || e.state == barred && !e.ran)
+}
+
 // retryStop tells whether a stop has to be sent.
 func (e *execution) retryStop(now time.Time) bool {
 	return e.stopWanted && e.stopCall == 0 && e.state != starting && e.state != barred && !now.Before(e.stopAt)
@@ -156,7 +161,7 @@
 		e.since, e.missed = c.calls, 0
 		return
 	}
-	e.stopAt = c.now.Add(c.cfg.ProbePause)
+	e.stopAt = c.now.Add(stopPause)
 }
 
 // judge applies what a hold that began after call number began says of an
--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -6,6 +6,7 @@
 
 // keepHolding sends the next hold when one is due.
 func (c *Core) keepHolding() {
+	c.lookAtOnce()
 	if c.holdCall != 0 || c.now.Before(c.probeAt) {
 		return
 	}
@@ -31,18 +32,23 @@
 		// nothing runs there.
 		c.hold(Hold{Fence: c.fence, Seen: c.seen})
 	default:
-		c.hold(Hold{Fence: c.fence, Seen: c.seen, Until: c.renewal(), Wait: c.wait()})
+		c.hold(Hold{Fence: c.fence, Seen: c.seen, Until: c.renewal(), Wait: c.cfg.HoldWait})
 	}
 }
 
-// wait is short while the truth about an attempt is wanted soon.
-func (c *Core) wait() time.Duration {
+// lookAtOnce asks what runs, beside the hold that waits for an end, while it is
+// not known whether an attempt has started.
+func (c *Core) lookAtOnce() {
+	if c.phase != held || c.lookCall != 0 || c.holdCall == 0 || c.unanswered > 0 {
+		return
+	}
 	for _, e := range c.byName {
-		if e.state == doubtful || e.state == barred && !e.ran {
-			return 0
+		if e.inDoubt() && c.holdCall <= e.since {
+			c.lookCall = c.nextCall()
+			c.emit(Hold{Call: c.lookCall, Life: c.life, Fence: c.fence, Seen: c.seen})
+			return
 		}
 	}
-	return c.cfg.HoldWait
 }
 
 func (c *Core) hold(h Hold) {
@@ -60,6 +66,14 @@
 		c.holdAnswered(in)
 		return
 	}
+	if in.Call == c.lookCall && in.Call != 0 {
+		c.lookCall = 0
+		c.noteClock(in)
+		if in.Status == OK {
+			c.takeLists(in)
+		}
+		return
+	}
 	waiting, ok := c.byCall[in.Call]
 	if !ok {
 		return
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -29,15 +29,14 @@
 	// HoldWait is how long the worker may wait for an end before it answers a
 	// hold. It is shorter than Term by several round trips.
 	HoldWait time.Duration
-	// ProbePause is the pause between holds of a worker that does not answer, and
-	// between the tries of a stop.
+	// ProbePause is the pause between holds of a worker that does not answer.
 	ProbePause time.Duration
 }
 
 // Defaults of Config for a worker that limits leases to a second.
 const (
 	DefaultTerm       = 900 * time.Millisecond
-	DefaultHoldWait   = 100 * time.Millisecond
+	DefaultHoldWait   = 40 * time.Millisecond
 	DefaultProbePause = 200 * time.Millisecond
 )
 
@@ -48,9 +47,11 @@
 	killTime = 60 * time.Millisecond
 	// tickSlack is what the caller's ticks may be late.
 	tickSlack = 100 * time.Millisecond
+	// stopPause is the pause before a stop that got no answer is sent again.
+	stopPause = 20 * time.Millisecond
 	// silentHolds is the number of holds in a row without an answer after which the
 	// worker counts as silent. The answer to a single one may be lost.
-	silentHolds = 2
+	silentHolds = 3
 	// missedHolds is the number of holds in a row that must lack a running task
 	// before it counts as lost.
 	missedHolds = 2
@@ -93,14 +94,15 @@
 	// the newest one that the worker knows to be.
 	seen, acked uint64
 	calls       uint64
-	// holdCall is the hold that waits for its answer, or zero.
-	holdCall uint64
-	holdSeen uint64
-	probeAt  time.Time
-	byName   map[string]*execution
-	byCall   map[uint64]call
-	strays   map[stray]time.Time
-	out      []Output
+	// holdCall is the hold that waits for its answer, or zero. lookCall is a second
+	// one, which does not wait for an end.
+	holdCall, lookCall uint64
+	holdSeen           uint64
+	probeAt            time.Time
+	byName             map[string]*execution
+	byCall             map[uint64]call
+	strays             map[stray]time.Time
+	out                []Output
 }
 
 // call is a start or a stop that waits for its answer.
