Learn each worker's pace and leave out slow ones

Change: the run times of a job's tasks are compared once all have ended; a worker at twice the pace of the others gets one trial task at a time, at most a third of a service's workers; a task that takes 2.5 times as long as its siblings is stopped and started elsewhere. Faster workers are preferred. Both tests fail without their rule (run).

--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -86,7 +86,7 @@
 	a.latestEnd = now.Add(min(remaining, c.cfg.StartWindow) + min(remaining, c.cfg.RunLimit))
 	c.use.Start(j.spec.Account)
 	a.timer = timer{attempt: a, index: -1}
-	a.size = j.spec.Tasks[i].DeclaredSize
+	a.size, a.sent = j.spec.Tasks[i].DeclaredSize, now
 	t.attempt = a
 	c.attempts[a.id] = a
 	w.add(a)
@@ -159,6 +159,9 @@
 		c.hold(a)
 	}
 	c.charge(a.job, r.RunTime)
+	if r.Kind == msg.ResultOK {
+		c.noteRun(now, a.job, w, r.RunTime)
+	}
 	c.noteOutcome(a.job, w, r)
 	c.ended(a.job, a.task, w, r)
 }
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -171,6 +171,7 @@
 	c.use.Expire(now)
 	c.fireTimers(now)
 	c.watchWorkers(now)
+	c.watchPace(now)
 	c.dispatchQueued(now)
 	c.flushRevokes(now)
 }
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -34,6 +34,8 @@
 	// startBy is when the first task has to start for an answer in the time that
 	// callers want; zero without such a time.
 	startBy time.Time
+	// ran holds the tasks that have ended.
+	ran []ranAt
 	// passed is the latest pass over the queue that found no room for the job.
 	passed uint64
 	// left counts the unfinished tasks of each step, and steps the tasks of each.
@@ -81,6 +83,9 @@
 	settled  bool
 	// size is what the attempt takes of a leased worker.
 	size msg.Size
+	// sent is when it was dispatched; late is set once it was found overdue.
+	sent time.Time
+	late bool
 	// stop asks the agent to stop the attempt when it runs under a lease.
 	stop bool
 	// releaseAt is set when the agent was replaced: the attempt is then over.
--- a/internal/core/entry/leased.go
+++ b/internal/core/entry/leased.go
@@ -135,7 +135,7 @@
 	var best *worker
 	bestScore, ties := 0.0, 0
 	for _, w := range c.workers.list {
-		if !w.usable() || !w.hello.Leased() || w.hello.Service != j.spec.Service || !w.fits(size) || !w.mayTake(now) || !w.allowed(j, task, step) {
+		if !w.usable() || !w.hello.Leased() || w.hello.Service != j.spec.Service || !w.fits(size) || !w.mayTake(now) || !w.allowed(j, task, step) || c.slowed(now, w) {
 			continue
 		}
 		score := w.score(j, task, step)
@@ -176,12 +176,12 @@
 	failedHerePenalty = 4
 )
 
-// score prefers workers near the data, then those with the largest part of their
+// score prefers workers near the data, then fast ones with a large part of their
 // cores free.
 func (w *worker) score(j *job, task int, step Step) float64 {
-	score := 0.0
+	score := -w.paceCost()
 	if w.hello.Size.Cores > 0 {
-		score = w.room.Cores / w.hello.Size.Cores
+		score += w.room.Cores / w.hello.Size.Cores
 	}
 	if step.Affinity != "" && w.hasLabel(step.Affinity) {
 		score += affinityScore
--- /dev/null
+++ b/internal/core/entry/pace_test.go
@@ -0,0 +1,115 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/poplarlever/poplarlever/internal/core/entry"
+	"github.com/poplarlever/poplarlever/internal/core/msg"
+)
+
+const (
+	ordinaryRun = 100 * time.Millisecond
+	slowRun     = 800 * time.Millisecond
+)
+
+// paceFixture has four workers of which the first takes eight times as long.
+type paceFixture struct {
+	*fixture
+	workers map[entry.LinkID]*leasedWorker
+	slow    *leasedWorker
+}
+
+func newPaceFixture(t *testing.T) *paceFixture {
+	f := &paceFixture{fixture: leasedFixture(t), workers: make(map[entry.LinkID]*leasedWorker)}
+	for _, name := range []string{"w1", "w2", "w3", "w4"} {
+		w := f.leased(name, 32)
+		f.workers[w.link] = w
+	}
+	f.slow = f.workers[f.link-3]
+	return f
+}
+
+// runJob runs a job of a task for each worker to its end and returns the number
+// of tasks that the slow worker got.
+func (f *paceFixture) runJob() int {
+	f.submitSized("patient", 3, 4)
+	atSlow := 0
+	for link, dispatches := range f.dispatched() {
+		w := f.workers[link]
+		for _, d := range dispatches {
+			took := ordinaryRun
+			if w == f.slow {
+				took = slowRun
+				atSlow++
+			}
+			w.covers = max(w.covers, d.Seq)
+			w.send(msg.Result{Attempt: d.Attempt, Kind: msg.ResultOK, RunTime: took, Report: w.report()})
+		}
+	}
+	f.out = nil
+	return atSlow
+}
+
+// Guards against jobs that go on being placed at a worker which has turned slow,
+// and against a worker that is never used again after it has recovered.
+func TestSlowWorkerGetsTrialTasksOnly(t *testing.T) {
+	f := newPaceFixture(t)
+	for range 4 {
+		f.runJob()
+	}
+	after := 0
+	for range 10 {
+		after += f.runJob()
+	}
+	f.c.Check(after, qt.Equals, 0)
+	slow := f.slow
+	f.slow = nil
+	f.now = f.now.Add(4 * time.Second)
+	f.submitSized("patient", 3, 39)
+	dispatches := f.dispatched()
+	f.c.Check(dispatches[slow.link], qt.HasLen, 1)
+	for len(dispatches) > 0 {
+		for link, ds := range dispatches {
+			f.finish(link, ds)
+		}
+		dispatches = f.dispatched()
+	}
+	f.submitSized("patient", 3, 39)
+	f.c.Check(len(f.dispatched()[slow.link]) > 1, qt.IsTrue)
+}
+
+// finish ends dispatched tasks after an ordinary run time.
+func (f *paceFixture) finish(link entry.LinkID, dispatches []msg.Dispatch) {
+	w := f.workers[link]
+	for _, d := range dispatches {
+		w.covers = max(w.covers, d.Seq)
+		w.send(msg.Result{Attempt: d.Attempt, Kind: msg.ResultOK, RunTime: ordinaryRun, Report: w.report()})
+	}
+}
+
+// Guards against a job that waits for a task which makes no progress at a slow
+// worker while others are free.
+func TestOverdueTaskStartsElsewhere(t *testing.T) {
+	f := newPaceFixture(t)
+	f.submitSized("patient", 3, 4)
+	dispatches := f.dispatched()
+	f.c.Assert(dispatches[f.slow.link], qt.HasLen, 1)
+	stuck := dispatches[f.slow.link][0]
+	delete(dispatches, f.slow.link)
+	for link, ds := range dispatches {
+		f.finish(link, ds)
+	}
+	f.pass(300 * time.Millisecond)
+	stopped := false
+	for _, r := range take[msg.Revoke](f.fixture) {
+		stopped = stopped || r.Stop
+	}
+	f.c.Assert(stopped, qt.IsTrue)
+	f.slow.end(stuck, msg.ResultAborted)
+	again := f.dispatched()
+	f.c.Check(again[f.slow.link], qt.HasLen, 0)
+	f.c.Check(again, qt.HasLen, 1)
+}
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -45,6 +45,7 @@
 	// newest report says.
 	failedJobs int
 	health     health
+	pace       pace
 	// reported is when the newest report came.
 	reported time.Time
 	// seq is the Seq of the latest dispatch. It starts above any that an earlier
@@ -288,7 +289,7 @@
 		w.retired = slices.Delete(w.retired, 0, 1)
 	}
 	w.retired = append(w.retired, w.incarnation)
-	w.health, w.failedJobs = health{}, 0
+	w.health, w.failedJobs, w.pace = health{}, 0, pace{}
 	w.covered, w.lastReport, w.revision, w.clock, w.clockSeen = 0, 0, 0, 0, time.Time{}
 }
 
