Let agents find entries in the store

Cause: an agent whose known entries had all been replaced found none, and store.address in its settings led to nothing. TestDirectoryLeadsToReplacedEntries guards it.

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -87,6 +87,9 @@
 	go d.loop.run(runCtx)
 	go d.watchEndpoint(runCtx)
 	d.dial(runCtx)
+	if d.opts.directory != nil {
+		go d.followDirectory(runCtx)
+	}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- d.server.Serve() }()
 	d.server.SetReady(true)
--- a/internal/agentd/options.go
+++ b/internal/agentd/options.go
@@ -16,6 +16,7 @@
 	metrics    *telemetry.Metrics
 	clientTLS  *tls.Config
 	leased     LeasedWorker
+	directory  Directory
 }
 
 func newOptions(with []Option) options {
--- a/internal/agentd/roster.go
+++ b/internal/agentd/roster.go
@@ -21,6 +21,8 @@
 	mu      sync.Mutex
 	ctx     context.Context
 	learned []msg.Peer
+	// listed are the entries in the store.
+	listed  []msg.Peer
 	dialled map[string]*dialled
 	// aliases maps an address to another one of the same entry.
 	aliases map[string]string
@@ -56,6 +58,27 @@
 	return peers
 }
 
+// discover adds the entries that the store lists. Entries that linked entries name
+// stay: the store's list may lack those whose leases lapsed while it was away.
+func (r *roster) discover(peers []msg.Peer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listed = peers
+	r.choose()
+}
+
+// linked tells whether any entry is linked.
+func (r *roster) linked() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range r.dialled {
+		if d.linked != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // configure replaces the addresses of the settings.
 func (r *roster) configure(addresses []string) {
 	r.mu.Lock()
@@ -140,8 +163,8 @@
 	}
 }
 
-// candidates returns the entries to choose from: the learned list and the
-// addresses of the settings, but for those that turned out to be another address
+// candidates returns the entries to choose from: the learned list, that of the
+// store and the addresses of the settings, but for those that turned out to be another address
 // of a linked entry. Addresses of the settings are never given up because of a
 // list, since lists grow one entry at a time while a fleet starts.
 func (r *roster) candidates() []msg.Peer {
@@ -150,6 +173,12 @@
 	for _, e := range list {
 		known[e.Address] = true
 	}
+	for _, e := range r.listed {
+		if !known[e.Address] {
+			known[e.Address] = true
+			list = append(list, e)
+		}
+	}
 	for _, e := range r.configured {
 		same := r.dialled[r.aliases[e.Address]]
 		if !known[e.Address] && (same == nil || same.linked == 0) {
--- a/internal/agentd/roster_test.go
+++ b/internal/agentd/roster_test.go
@@ -140,3 +140,17 @@
 	f.end("b")
 	c.Assert(f.active(), qt.DeepEquals, []string{"a", "b"})
 }
+
+// Guards against an agent that stays without a link after every entry that it knew
+// has been replaced, although the store lists the new ones.
+func TestDirectoryLeadsToReplacedEntries(t *testing.T) {
+	c := qt.New(t)
+	dialled := make(map[string]bool)
+	r := newRoster("w", []string{"10.0.0.1:7000"}, 0)
+	r.start = func(_ context.Context, address string) { dialled[address] = true }
+	r.run(c.Context())
+	r.learn([]msg.Peer{{Address: "10.0.0.1:7000"}, {Address: "10.0.0.2:7000"}})
+	r.discover([]msg.Peer{{Address: "10.0.0.9:7000"}})
+	c.Check(dialled, qt.DeepEquals, map[string]bool{"10.0.0.1:7000": true, "10.0.0.2:7000": true, "10.0.0.9:7000": true})
+	c.Check(r.linked(), qt.IsFalse)
+}
--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -117,6 +117,9 @@
 	options := []agentd.Option{
 		agentd.WithLinks(s.Links), agentd.WithReadyDelay(s.ReadyDelay.Duration), agentd.WithMetrics(m), agentd.WithClientTLS(t.Client),
 	}
+	if client := storeClient(s.Store); client != nil {
+		options = append(options, agentd.WithDirectory(agentd.StoreDirectory(client, entryd.EntriesPrefix)))
+	}
 	if s.Platform.Service == "" {
 		return agentd.New(core, s.Worker, time.Time(zero), s.Entries, server, log, options...)
 	}
--- a/internal/entryd/platform.go
+++ b/internal/entryd/platform.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// entriesPrefix begins the keys under which entries register.
-	entriesPrefix = tablestore.Prefix + "entries/"
+	// EntriesPrefix begins the keys under which entries register.
+	EntriesPrefix = tablestore.Prefix + "entries/"
 
 	// retryMin and retryMax bound the pauses of a loop whose call failed.
 	retryMin = 50 * time.Millisecond
--- a/internal/entryd/register.go
+++ b/internal/entryd/register.go
@@ -28,7 +28,7 @@
 // memberKey names the process, so that two processes with one name do not
 // overwrite each other.
 func memberKey(m membership.Member) string {
-	return fmt.Sprintf("%s%s/%016x", entriesPrefix, m.Name, m.Incarnation)
+	return fmt.Sprintf("%s%s/%016x", EntriesPrefix, m.Name, m.Incarnation)
 }
 
 // registerLoop keeps the entry listed in the store.
--- a/internal/entryd/storewatch.go
+++ b/internal/entryd/storewatch.go
@@ -154,7 +154,7 @@
 	var members []membership.Member
 	p.mirror.Entries(func(e store.Entry) {
 		var m membership.Member
-		if strings.HasPrefix(e.Key, entriesPrefix) && json.Unmarshal(e.Value, &m) == nil {
+		if strings.HasPrefix(e.Key, EntriesPrefix) && json.Unmarshal(e.Value, &m) == nil {
 			members = append(members, m)
 		}
 	})
--- a/internal/logevent/endpoints.go
+++ b/internal/logevent/endpoints.go
@@ -6,5 +6,6 @@
 var (
 	AnnouncementRefused = define(3101, "announcement_refused", zap.WarnLevel, "an endpoint's announcement was refused")
 	LeaseChanged        = define(3103, "lease_changed", zap.InfoLevel, "the lease of the worker was taken, lost or regained")
+	DirectoryUnread     = define(3104, "directory_unread", zap.WarnLevel, "the list of entries in the store could not be read")
 	AttemptsCutOff      = define(3102, "attempts_cut_off", zap.ErrorLevel, "the stop limit passed with attempts at the endpoint")
 )
