Answer the last jobs before the farewell to the store

Cause: an entry that stops told the store first; with a store that does not answer that took a second after the stop limit of 5.5 s, and the platform kills a process 6 s after the signal. Change: the farewell comes after the last answers.

--- a/internal/agentd/directory.go
+++ b/internal/agentd/directory.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/logevent"
 	"github.com/poplarlever/poplarlever/internal/membership"
@@ -52,7 +53,7 @@
 // followDirectory reads the list of entries until ctx ends.
 func (d *Daemon) followDirectory(ctx context.Context) {
 	last := time.Now()
-	for sleep(ctx, lonelyInterval*4/5+rand.N(lonelyInterval*2/5)) {
+	for clock.Sleep(ctx, lonelyInterval*4/5+rand.N(lonelyInterval*2/5)) {
 		if d.roster.linked() && time.Since(last) < directoryInterval {
 			continue
 		}
@@ -67,15 +68,3 @@
 		d.roster.discover(peers)
 	}
 }
-
-// sleep waits and returns false when ctx ended first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -4,6 +4,7 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -36,6 +37,18 @@
 	return now.Add(suspended)
 }
 
+// Sleep waits and returns false when ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // boottime returns the time since the VM booted, or zero where the system has no
 // such clock; suspensions then go unnoticed.
 func boottime() time.Duration {
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -120,12 +120,13 @@
 	case <-ctx.Done():
 	}
 	cutOff := d.drain(stopLimit)
-	waitPlatform()
 	stopLoop()
 	<-d.loop.stopped
 	if err := d.closeAttached(); err != nil {
 		return err
 	}
+	// The farewell to a store that does not answer must not delay the last answers.
+	waitPlatform()
 	if err := d.closeServer(); err != nil {
 		return err
 	}
--- a/internal/entryd/exchange.go
+++ b/internal/entryd/exchange.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/membership"
 	"github.com/poplarlever/poplarlever/internal/store"
 	"github.com/poplarlever/poplarlever/internal/tablestore"
@@ -54,7 +55,7 @@
 	for {
 		if p.Revision() == 0 {
 			p.exchangeAll(ctx)
-			if !sleep(ctx, backoff.Next()) {
+			if !clock.Sleep(ctx, backoff.Next()) {
 				return
 			}
 			continue
@@ -62,7 +63,7 @@
 		if addresses := p.addresses(); len(addresses) > 0 {
 			p.exchangeWith(ctx, addresses[rand.IntN(len(addresses))], true)
 		}
-		if !sleep(ctx, jitter(exchangeInterval)) {
+		if !clock.Sleep(ctx, jitter(exchangeInterval)) {
 			return
 		}
 	}
@@ -76,7 +77,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !sleep(ctx, rand.N(pushDelay)) {
+		if !clock.Sleep(ctx, rand.N(pushDelay)) {
 			return
 		}
 		p.exchangeEach(ctx, p.behind(), false)
--- a/internal/entryd/platform.go
+++ b/internal/entryd/platform.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
@@ -286,17 +287,5 @@
 	p.mu.Lock()
 	wait := max(b.Next(), p.budget.Take(time.Now()))
 	p.mu.Unlock()
-	return sleep(ctx, wait)
-}
-
-// sleep waits and returns false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, wait)
 }
--- a/internal/entryd/register.go
+++ b/internal/entryd/register.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/logevent"
 	"github.com/poplarlever/poplarlever/internal/membership"
 	"github.com/poplarlever/poplarlever/internal/store"
@@ -49,7 +50,7 @@
 			return
 		}
 		logevent.EntryLeaseLapsed.Log(p.cfg.Log)
-		if !sleep(ctx, rand.N(registerSpread)) {
+		if !clock.Sleep(ctx, rand.N(registerSpread)) {
 			return
 		}
 	}
@@ -81,7 +82,7 @@
 // keepAlive returns true when ctx ended and false when the lease has lapsed.
 func (p *Platform) keepAlive(ctx context.Context, lease store.LeaseID) bool {
 	backoff := store.Backoff{Min: retryMin, Max: retryMax}
-	for sleep(ctx, jitter(keepAliveInterval)) {
+	for clock.Sleep(ctx, jitter(keepAliveInterval)) {
 		for {
 			err := p.cfg.Store.KeepAlive(ctx, lease)
 			p.storeCall(ctx, err)
--- a/internal/entryd/storewatch.go
+++ b/internal/entryd/storewatch.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/membership"
 	"github.com/poplarlever/poplarlever/internal/store"
 	"github.com/poplarlever/poplarlever/internal/tablestore"
@@ -80,7 +81,7 @@
 // pollLoop finds changes that the watch missed.
 func (p *Platform) pollLoop(ctx context.Context) {
 	backoff := store.Backoff{Min: retryMin, Max: retryMax}
-	for sleep(ctx, jitter(pollInterval)) {
+	for clock.Sleep(ctx, jitter(pollInterval)) {
 		for p.poll(ctx) != nil {
 			if !p.pause(ctx, &backoff) {
 				return
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -128,7 +128,7 @@
 	}
 	resp, err := c.http.Do(r)
 	if err != nil {
-		if neverSent(err) {
+		if NeverSent(err) {
 			return Response{}, ErrUnavailable.Wrap(err, "cannot connect to the store")
 		}
 		return Response{}, lost.Wrap(err, "no answer from the store")
@@ -137,8 +137,9 @@
 	return decode(resp, lost)
 }
 
-// neverSent tells whether the request failed before a connection was made.
-func neverSent(err error) bool {
+// NeverSent tells whether a request failed before a connection was made, so that
+// it certainly had no effect.
+func NeverSent(err error) bool {
 	var op *net.OpError
 	return stderrors.As(err, &op) && op.Op == "dial"
 }
