Close the connection of a link that is given up

Cause: a link that the agent gave up could stay open at the entry, or hang at the agent in a write, since the end of the request's context does not always reach the other side. Change: each link has its own connection, which ends with the link.

--- a/internal/agentd/cancel_test.go
+++ b/internal/agentd/cancel_test.go
@@ -56,7 +56,7 @@
 	loopCtx, stopLoop := context.WithCancel(c.Context())
 	go loop.run(loopCtx)
 	k := &linker{
-		loop: loop, log: zap.NewNop(), client: httpserver.NewClient(), address: server.Address(),
+		loop: loop, log: zap.NewNop(), address: server.Address(),
 		url: "http://" + server.Address(), identity: newIdentityCheck(),
 		clock: func() time.Duration { return 0 }, roster: r,
 	}
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -118,10 +118,9 @@
 
 // dial keeps a link to each chosen entry.
 func (d *Daemon) dial(ctx context.Context) {
-	client := httpserver.NewLinkClient(d.opts.clientTLS)
 	d.roster.start = func(ctx context.Context, address string) {
 		k := &linker{
-			loop: d.loop, log: d.log, client: client, address: address, identity: d.identity, counter: d.counter,
+			loop: d.loop, log: d.log, tls: d.opts.clientTLS, address: address, identity: d.identity, counter: d.counter,
 			url: d.opts.scheme() + "://" + address, clock: func() time.Duration { return clock.Now().Sub(d.epoch) },
 			roster: d.roster,
 		}
--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
-	"net/http"
 	"reflect"
 	"time"
 
@@ -12,6 +12,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/agent"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/linkpb"
 	"github.com/poplarlever/poplarlever/internal/logevent"
 	"github.com/poplarlever/poplarlever/internal/outbox"
@@ -51,7 +52,7 @@
 type linker struct {
 	loop    *loop
 	log     *zap.Logger
-	client  *http.Client
+	tls     *tls.Config
 	address string
 	// url is the address with its scheme.
 	url      string
@@ -82,7 +83,10 @@
 func (k *linker) link(parent context.Context) error {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
-	stream := poplarleverv1connect.NewLinkClient(k.client, k.url).Link(ctx)
+	client := httpserver.NewLinkClient(k.tls)
+	defer client.Close()
+	context.AfterFunc(ctx, client.Close)
+	stream := poplarleverv1connect.NewLinkClient(client, k.url).Link(ctx)
 	var hello msg.Hello
 	ready := make(chan struct{})
 	if !k.loop.do(func(time.Time) { hello = k.loop.core.Hello(); close(ready) }) {
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -18,10 +18,6 @@
 // that drops packets would otherwise hold it for minutes.
 const dialTimeout = 3 * time.Second
 
-// linkDialTimeout is several round trips between regions. It is shorter than the
-// second after which the system repeats an opening packet.
-const linkDialTimeout = 250 * time.Millisecond
-
 // readHeaderTimeout ends connections that send no whole request header.
 const readHeaderTimeout = 5 * time.Second
 
@@ -113,19 +109,18 @@
 
 // NewTLSClient returns a client that speaks HTTP/2 to our processes, with TLS
 // unless cfg is nil.
-func NewTLSClient(cfg *tls.Config) *http.Client { return newClient(cfg, dialTimeout) }
+func NewTLSClient(cfg *tls.Config) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return newClient(cfg, dialer.DialContext)
+}
 
-// NewLinkClient is NewTLSClient for links between agents and entries, which are
-// dialled again and again: an attempt that a VM without power does not answer
-// ends soon, so that the next one finds the VM when it is back.
-func NewLinkClient(cfg *tls.Config) *http.Client { return newClient(cfg, linkDialTimeout) }
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-func newClient(cfg *tls.Config, dialTimeout time.Duration) *http.Client {
+func newClient(cfg *tls.Config, dial dialFunc) *http.Client {
 	var protocols http.Protocols
 	protocols.SetHTTP2(cfg != nil)
 	protocols.SetUnencryptedHTTP2(cfg == nil)
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		Protocols: &protocols, TLSClientConfig: cfg, DialContext: dialer.DialContext, TLSHandshakeTimeout: dialTimeout,
+		Protocols: &protocols, TLSClientConfig: cfg, DialContext: dial, TLSHandshakeTimeout: dialTimeout,
 	}}
 }
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -102,15 +102,6 @@
 	}
 }
 
-func addresses(values *[]string) func() error {
-	return func() error {
-		if len(*values) == 0 {
-			return errMissing
-		}
-		return optionalAddresses(values)()
-	}
-}
-
 func optionalAddresses(values *[]string) func() error {
 	return func() error {
 		for i, a := range *values {
