--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -88,8 +88,8 @@
 }
 
 // call makes a call and gives its answer to the lease core.
-func (d *leasedDriver) call(make func(context.Context) lease.Answer) {
-	answer := make(context.Background())
+func (d *leasedDriver) call(request func(context.Context) lease.Answer) {
+	answer := request(context.Background())
 	d.loop.do(func(now time.Time) { d.core.Step(now, answer) })
 }
 
@@ -115,7 +115,7 @@
 	})
 }
 
-// Refused counts an announcement that could not be used.
+// Refused logs an announcement that could not be used.
 func (d *Daemon) Refused(err error) {
 	logevent.AnnouncementRefused.Log(d.log, zap.Error(err))
 }
--- a/internal/core/entry/leased.go
+++ b/internal/core/entry/leased.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
@@ -111,83 +110,3 @@
 		}
 	}
 }
-
-// fits tells whether a leased worker is believed to have room for the task.
-func (w *worker) fits(size msg.Size) bool { return size.Within(w.room) }
-
-// setRoom applies the room in a report, less the dispatches that the agent had
-// not seen when it sent the report.
-func (w *worker) setRoom(r msg.Slots) {
-	w.room = r.Room
-	for _, a := range w.outstanding {
-		if w.owns(a) && a.seq > max(w.base, r.Covers) {
-			w.room = w.room.Minus(a.size)
-		}
-	}
-}
-
-// pickLeased returns the leased worker for a task, or nil.
-func (c *Core) pickLeased(now time.Time, j *job, task int) *worker {
-	size, step := j.spec.Tasks[task].DeclaredSize, j.step(task)
-	if kept := c.keptCores(j); kept > 0 && c.workers.freeCores(j.spec.Service)-size.Cores < kept {
-		return nil
-	}
-	var best *worker
-	bestScore, ties := 0.0, 0
-	for _, w := range c.workers.list {
-		if !w.usable() || !w.hello.Leased() || w.hello.Service != j.spec.Service || !w.fits(size) || !w.mayTake(now) || !w.allowed(j, task, step) || c.slowed(now, w) {
-			continue
-		}
-		score := w.score(j, task, step)
-		switch {
-		case best == nil || score > bestScore:
-			best, bestScore, ties = w, score, 1
-		case score == bestScore:
-			ties++
-			if c.rng.IntN(ties) == 0 {
-				best = w
-			}
-		}
-	}
-	return best
-}
-
-// allowed tells whether the step's rules let the task run at the worker.
-func (w *worker) allowed(j *job, task int, step Step) bool {
-	if step.Requires != "" && !w.hasLabel(step.Requires) {
-		return false
-	}
-	return step.MaxPerWorker == 0 || j.runningAt(w, j.spec.Tasks[task].Step) < step.MaxPerWorker
-}
-
-func (w *worker) hasLabel(label string) bool {
-	for _, l := range w.hello.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
-}
-
-const (
-	// affinityScore outweighs any difference in room.
-	affinityScore = 2
-	// failedHerePenalty outweighs affinity: the same worker may fail the task again.
-	failedHerePenalty = 4
-)
-
-// score prefers workers near the data, then fast ones with a large part of their
-// cores free.
-func (w *worker) score(j *job, task int, step Step) float64 {
-	score := -w.paceCost()
-	if w.hello.Size.Cores > 0 {
-		score += w.room.Cores / w.hello.Size.Cores
-	}
-	if step.Affinity != "" && w.hasLabel(step.Affinity) {
-		score += affinityScore
-	}
-	if j.tasks[task].failedAt == w.name {
-		score -= failedHerePenalty
-	}
-	return score
-}
--- a/internal/entryd/attached.go
+++ b/internal/entryd/attached.go
@@ -1,14 +1,6 @@
 package entryd
 
-import (
-	"context"
-
-	"go.uber.org/zap"
-
-	"github.com/poplarlever/poplarlever/internal/core/entry"
-	"github.com/poplarlever/poplarlever/internal/core/verdict"
-	"github.com/poplarlever/poplarlever/internal/logevent"
-)
+import "context"
 
 // serveAttached serves the adapters' servers until they are shut down.
 func (d *Daemon) serveAttached(failed chan<- error) {
@@ -33,14 +25,3 @@
 	}
 	return first
 }
-
-// cancelledUnsent answers a job whose caller left before the core had it.
-func cancelledUnsent() entry.Answer {
-	return entry.Answer{Outcome: entry.Failed, Verdict: verdict.NotRun, Reason: verdict.Cancelled, Message: "the caller left"}
-}
-
-// logRefusal writes the line that explains a job which was refused or failed.
-func logRefusal(log *zap.Logger, name string, job entry.Job, a entry.Answer) {
-	logevent.JobNotDone.Log(log, zap.String("job", name), zap.String("service", job.Service), zap.String("job_type", job.JobType),
-		zap.Int("tasks", len(job.Tasks)), zap.Stringer("reason", a.Reason), zap.Stringer("verdict", a.Verdict), zap.String("message", a.Message))
-}
--- a/internal/entryd/frontdoor.go
+++ b/internal/entryd/frontdoor.go
@@ -4,8 +4,12 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/poplarlever/poplarlever/internal/core/entry"
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
+	"github.com/poplarlever/poplarlever/internal/logevent"
 )
 
 // FrontDoor gives jobs to the entry for an adapter that serves callers by another
@@ -77,3 +81,14 @@
 	r.names.end(name, answer)
 	return answer
 }
+
+// cancelledUnsent answers a job whose caller left before the core had it.
+func cancelledUnsent() entry.Answer {
+	return entry.Answer{Outcome: entry.Failed, Verdict: verdict.NotRun, Reason: verdict.Cancelled, Message: "the caller left"}
+}
+
+// logRefusal writes the line that explains a job which was refused or failed.
+func logRefusal(log *zap.Logger, name string, job entry.Job, a entry.Answer) {
+	logevent.JobNotDone.Log(log, zap.String("job", name), zap.String("service", job.Service), zap.String("job_type", job.JobType),
+		zap.Int("tasks", len(job.Tasks)), zap.Stringer("reason", a.Reason), zap.Stringer("verdict", a.Verdict), zap.String("message", a.Message))
+}
