--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -77,6 +77,7 @@
 		Worker: s.Worker, FailureDomain: s.FailureDomain, Incarnation: incarnation, Epoch: time.Time(zero),
 		LeaseTail:  lease.Tail(lease.Config{}),
 		ResultKeep: s.Timing.ResultKeep.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
+		EntrySilence: s.Timing.EntrySilence.Duration,
 	}
 }
 
--- a/internal/linkpb/linkpb_test.go
+++ b/internal/linkpb/linkpb_test.go
@@ -17,7 +17,7 @@
 
 var (
 	id     = msg.AttemptID{Entry: 1 << 63, Job: 2, Task: 3, Attempt: 4}
-	report = msg.Slots{Free: 5, Spare: 3, Covers: 6, Number: 7}
+	report = msg.Slots{Free: 5, Spare: 3, Covers: 6, Number: 7, Room: msg.Size{Cores: 8.5, MemoryBytes: 9, Accelerators: 1}}
 	refs   = []msg.AttemptRef{{Attempt: id, StartBy: 8}}
 )
 
@@ -27,6 +27,7 @@
 		msg.Hello{
 			Worker: "w", FailureDomain: "d", Incarnation: 9, Service: "s", Slots: 8, Report: report,
 			Connections: 64, Size: msg.Size{Cores: 1.5, MemoryBytes: 2, Accelerators: 3}, Revision: 10, Leaving: true,
+			ReleaseAfter: time.Second, Labels: []string{"a", "r1"}, Settled: true,
 		},
 		msg.Refused{Attempt: id, Reason: verdict.NoSlot, Report: report},
 		msg.Result{Attempt: id, Kind: msg.ResultOK, Payload: []byte("p"), RunTime: time.Second, Report: report},
@@ -53,12 +54,13 @@
 		msg.Dispatch{
 			Attempt: id, Seq: 1, AgentIncarnation: 2, StartBy: 3, RunLimit: 4,
 			Service: "s", Account: "a", Payload: []byte("p"), Acks: []msg.AttemptID{id},
-			Claim: msg.Claim{Waiting: 5, Unfinished: 6},
+			Claim: msg.Claim{Waiting: 5, Unfinished: 6}, TaskName: "t", Size: msg.Size{Cores: 0.5}, Heard: 7,
 		},
 		msg.Revoke{Attempts: refs},
+		msg.Revoke{Attempts: refs, Stop: true},
 		msg.Query{Attempts: refs},
 		msg.Ack{Attempts: []msg.AttemptID{id}},
-		msg.EntryHeartbeat{Seq: 5, Revision: 6, Acks: []msg.AttemptID{id}, Claim: msg.Claim{Waiting: 7, Unfinished: 8}},
+		msg.EntryHeartbeat{Heard: 9, Seq: 5, Revision: 6, Acks: []msg.AttemptID{id}, Claim: msg.Claim{Waiting: 7, Unfinished: 8}},
 		msg.TableUpdate{Revision: 7},
 	} {
 		t.Run(fmt.Sprintf("%T", m), func(t *testing.T) {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -21,6 +21,7 @@
 	DefaultAckDelay          = 100 * time.Millisecond
 	DefaultRunLimit          = time.Minute
 	DefaultResultKeep        = time.Minute
+	DefaultEntrySilence      = 10 * time.Second
 
 	DefaultMaxQueued  = 100_000
 	DefaultMaxTasks   = 1000
@@ -59,7 +60,7 @@
 		TLS: TLS{Mode: TLSOff}, Log: Log{Format: DefaultLogFormat, Level: DefaultLogLevel},
 		Store: Store{Protocol: ProtocolNative},
 		Timing: AgentTiming{
-			ResultKeep: Duration{DefaultResultKeep}, HeartbeatInterval: Duration{DefaultHeartbeatInterval},
+			ResultKeep: Duration{DefaultResultKeep}, EntrySilence: Duration{DefaultEntrySilence}, HeartbeatInterval: Duration{DefaultHeartbeatInterval},
 		},
 	}
 }
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -76,6 +76,7 @@
 		tlsFile("ca", "PEM file with the authority that signs the certificates of all processes.", &s.TLS, &s.TLS.CA),
 		logFormat(&s.Log), logLevel(&s.Log),
 		{"timing.result_keep", "How long a result waits for its acknowledgement.", &s.Timing.ResultKeep, within(&s.Timing.ResultKeep, shortest, 24*time.Hour), ""},
+		{"timing.entry_silence", "Silence of an entry after which its link is given up and dialled anew; several times the entries' heartbeat_interval.", &s.Timing.EntrySilence, within(&s.Timing.EntrySilence, shortest, longest), ""},
 		{"timing.heartbeat_interval", "Longest silence of this agent towards an entry.", &s.Timing.HeartbeatInterval, within(&s.Timing.HeartbeatInterval, shortest, longest), ""},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -125,5 +125,6 @@
 // AgentTiming holds an agent's timeouts and intervals.
 type AgentTiming struct {
 	ResultKeep        Duration `toml:"result_keep"`
+	EntrySilence      Duration `toml:"entry_silence"`
 	HeartbeatInterval Duration `toml:"heartbeat_interval"`
 }
