Share the requeue of tasks, and drop what is not used

Found in the last read of the change: the queueing of a task whose attempt is over stood twice, a new life of a worker copied New, lease.Core.Active had no caller, two comments were stale, and one place needed a reason. Behaviour is unchanged but for one message, which is now the older one: a job whose tasks were tried at too many workers.

--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -119,9 +119,14 @@
 func (c *Core) notStarted(a *attempt, reason verdict.RetryReason) {
 	c.settle(a)
 	c.use.End(a.job.spec.Account)
-	j, t := a.job, &a.job.tasks[a.task]
+	a.job.tasks[a.task].unproven--
+	c.requeue(a.job, a.task, reason)
+}
+
+// requeue queues a task of which no attempt is left, unless its job is failing.
+func (c *Core) requeue(j *job, task int, reason verdict.RetryReason) {
+	t := &j.tasks[task]
 	t.state = taskQueued
-	t.unproven--
 	if j.failing != nil {
 		c.finishIfSettled(j)
 		return
@@ -131,7 +136,7 @@
 		return
 	}
 	c.emit(Retried{Reason: reason})
-	c.queue.push(j, a.task)
+	c.queue.push(j, task)
 	c.progress(j)
 }
 
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -38,7 +38,7 @@
 	ran []ranAt
 	// passed is the latest pass over the queue that found no room for the job.
 	passed uint64
-	// left counts the unfinished tasks of each step, and steps the tasks of each.
+	// left counts the unfinished tasks of each step.
 	left []int
 	// failing jobs wait only for the verdict on their dispatched tasks.
 	failing  *Answer
--- a/internal/core/entry/leased.go
+++ b/internal/core/entry/leased.go
@@ -78,23 +78,15 @@
 	c.again(j, task, verdict.EndpointFailure)
 }
 
-// again queues a task whose earlier attempt is proven over.
+// again queues a task whose earlier attempt is proven over, if its job type lets
+// it start twice.
 func (c *Core) again(j *job, task int, reason verdict.RetryReason) {
-	t := &j.tasks[task]
-	t.state = taskQueued
-	switch {
-	case j.failing != nil:
-		c.finishIfSettled(j)
-	case !j.restarts():
-		t.state = taskFinished
+	if j.failing == nil && !j.restarts() {
+		j.tasks[task].state = taskFinished
 		c.failTask(j, verdict.WorkerLost, "the worker lost a task")
-	case t.attempts >= maxAttempts:
-		c.failJob(j, verdict.RetriesExhausted, "a task was tried at too many workers")
-	default:
-		c.emit(Retried{Reason: reason})
-		c.queue.push(j, task)
-		c.progress(j)
+		return
 	}
+	c.requeue(j, task, reason)
 }
 
 // failPaused fails the jobs that were in progress while this process stood
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -175,9 +175,6 @@
 	c.keepHolding()
 }
 
-// Active returns the number of attempts without an end.
-func (c *Core) Active() int { return len(c.byName) }
-
 func (c *Core) advance(now time.Time) {
 	if now.After(c.now) {
 		c.now = now
@@ -210,10 +207,9 @@
 		return
 	}
 	c.endAll()
-	*c = Core{
-		cfg: c.cfg, now: c.now, out: c.out, calls: c.calls, phase: asking, life: life,
-		byName: make(map[string]*execution), byCall: make(map[uint64]call), strays: make(map[stray]time.Time),
-	}
+	fresh := New(c.cfg)
+	fresh.now, fresh.out, fresh.calls, fresh.phase, fresh.life = c.now, c.out, c.calls, asking, life
+	*c = *fresh
 }
 
 // Left says that the worker ends now, and returns whether it is about the present
