--- a/internal/entryd/platform.go
+++ b/internal/entryd/platform.go
@@ -156,19 +156,20 @@
 // bootstrapLimit bounds each of the two questions at start.
 const bootstrapLimit = time.Second
 
-// bootstrap asks the store and every known entry at once, and puts the newest
+// bootstrap asks the store and then every known entry, and puts the newest
 // revision among their answers in force. Once the store has answered, entries
 // that are down are not waited for.
 func (p *Platform) bootstrap(ctx context.Context) {
+	// The store names the entries to ask, so it comes first.
+	wait := time.Duration(math.MaxInt64)
+	if p.loadFirst(ctx) {
+		wait = peerPatience
+	}
 	asked := make(chan struct{})
 	go func() {
 		defer close(asked)
 		p.exchangeAll(ctx)
 	}()
-	wait := time.Duration(math.MaxInt64)
-	if p.loadFirst(ctx) {
-		wait = peerPatience
-	}
 	select {
 	case <-asked:
 	case <-time.After(wait):
