Report room to entries only where it is scarce

Cause: every agent told every entry of each change of its room, up to 50 times a second. A claim of leased room now counts the tasks that the latest pass left, not those that it had yet to place. TestPlentyOfRoomIsNoNews and TestClaimedRoomIsReportedSooner fail without it.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -8,7 +8,6 @@
 package agent
 
 import (
-	"math"
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
@@ -49,11 +48,6 @@
 	// defaultOrphanAfter is shorter than the time after which a caller whose entry
 	// is gone sends its job again, by what stopping the tasks takes.
 	defaultOrphanAfter = 900 * time.Millisecond
-	// reportPause is the shortest time between two reports of changed room to an
-	// entry, apart from those that travel with other messages.
-	reportPause = 20 * time.Millisecond
-	// roomGrain is the smallest change of a worker's cores that is reported.
-	roomGrain = 0.5
 )
 
 // pauseLimit is the gap between ticks from which on the agent itself counts as
@@ -236,14 +230,6 @@
 	return c.cfg.OrphanAfter + c.cfg.LeaseTail
 }
 
-// roomNews tells whether the entry should hear of room that has appeared or gone.
-func (c *Core) roomNews(now time.Time, e *entryState) bool {
-	if !c.endpoint.leased || now.Sub(e.lastSent) < reportPause {
-		return false
-	}
-	return math.Abs(c.Room().Cores-e.toldRoom.Cores) >= roomGrain
-}
-
 // sendHellos tells all entries what has changed at the endpoint.
 func (c *Core) sendHellos(now time.Time) {
 	for _, e := range c.entries.linked {
--- /dev/null
+++ b/internal/core/agent/roomnews_test.go
@@ -0,0 +1,91 @@
+package agent_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/poplarlever/poplarlever/internal/core/agent"
+	"github.com/poplarlever/poplarlever/internal/core/msg"
+)
+
+// newLeasedFixture has a leased worker of 32 cores and two linked entries, of
+// which the second runs nothing.
+func newLeasedFixture(t *testing.T) *fixture {
+	f := &fixture{c: qt.New(t), now: time.Unix(1000, 0)}
+	f.core = agent.New(agent.Config{
+		Worker: "w", Incarnation: self, ResultKeep: time.Minute, HeartbeatInterval: 10 * time.Second,
+		OrphanAfter: time.Hour, Epoch: f.now,
+	})
+	f.step(agent.LinkUp{Entry: entry, Name: "e"})
+	f.step(agent.LinkUp{Entry: other, Name: "o"})
+	f.step(agent.EndpointAnnounced{Service: "s", Slots: 8, Connections: 64, Size: msg.Size{Cores: 32}, Join: 1, Number: 1, Leased: true})
+	f.step(agent.LeaseChanged{Ready: true, Settled: true})
+	f.core.Drain()
+	return f
+}
+
+// occupy starts a task that takes the given cores.
+func (f *fixture) occupy(job uint64, cores float64) {
+	d := f.dispatchOf(attempt(entry, job))
+	d.Size, d.TaskName = msg.Size{Cores: cores}, "task"
+	f.receive(d)
+}
+
+// tick lets a span pass in steps of the loops' ticks.
+func (f *fixture) tick(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.core.Tick(f.now)
+	}
+}
+
+// Pattern: short tasks come and go at a worker with plenty of room. Guards
+// against a report of every change to every entry, which takes most of an
+// entry's processor time at a thousand tasks a second.
+func TestPlentyOfRoomIsNoNews(t *testing.T) {
+	f := newLeasedFixture(t)
+	for job := range uint64(50) {
+		f.occupy(job, 3)
+		f.tick(100 * time.Millisecond)
+		f.end(attempt(entry, job), msg.ResultOK)
+		f.tick(100 * time.Millisecond)
+	}
+	f.c.Assert(sentTo[msg.Heartbeat](f, other), qt.HasLen, 0)
+}
+
+// Guards against an entry that believes in room which has gone, or does not
+// learn of room that has appeared at a full worker.
+func TestScarceRoomIsNews(t *testing.T) {
+	f := newLeasedFixture(t)
+	f.occupy(1, 28)
+	f.tick(100 * time.Millisecond)
+	gone := sentTo[msg.Heartbeat](f, other)
+	f.c.Assert(gone, qt.HasLen, 1)
+	f.c.Assert(gone[0].Report.Room.Cores, qt.Equals, 4.0)
+	f.end(attempt(entry, 1), msg.ResultOK)
+	f.tick(100 * time.Millisecond)
+	back := sentTo[msg.Heartbeat](f, other)
+	f.c.Assert(back, qt.HasLen, 1)
+	f.c.Assert(back[0].Report.Room.Cores, qt.Equals, 32.0)
+}
+
+// Guards against an entry with waiting tasks that hears of room no sooner than
+// one without.
+func TestClaimedRoomIsReportedSooner(t *testing.T) {
+	reports := func(claim msg.Claim) int {
+		f := newLeasedFixture(t)
+		f.step(agent.Received{Entry: other, Message: msg.EntryHeartbeat{Claim: claim}})
+		f.occupy(0, 28)
+		for job := range uint64(20) {
+			f.occupy(job+1, 2)
+			f.tick(20 * time.Millisecond)
+			f.end(attempt(entry, job+1), msg.ResultOK)
+			f.tick(20 * time.Millisecond)
+		}
+		return len(sentTo[msg.Heartbeat](f, other))
+	}
+	waiting, idle := reports(msg.Claim{Waiting: 3, Unfinished: 1}), reports(msg.Claim{})
+	qt.Assert(t, waiting > 2*idle, qt.IsTrue, qt.Commentf("%d reports to an entry with waiting tasks, %d to another", waiting, idle))
+}
--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -38,6 +38,7 @@
 			s.idle--
 			c.dispatch(now, j, w)
 		}
+		s.unplaced = s.waiting()
 	}
 }
 
@@ -49,15 +50,17 @@
 	return c.workers.pick(now, j.spec.Service, c.rng)
 }
 
-// claim returns what would run if the service had more free slots.
-func (c *Core) claim(service string) msg.Claim {
-	s := c.queue.services[service]
+// claim returns what would run at the worker's service if it had more free slots
+// or, at leased workers, more room.
+func (c *Core) claim(w *worker) msg.Claim {
+	s := c.queue.services[w.hello.Service]
 	if s == nil {
 		return msg.Claim{}
 	}
-	waiting := -s.idle
-	for _, a := range s.accounts {
-		waiting += a.use.Room(a.tasks)
+	waiting := s.waiting() - s.idle
+	if w.hello.Leased() {
+		// Tasks that the present pass has not come to may still find room.
+		waiting = min(s.waiting(), s.unplaced)
 	}
 	j := s.next()
 	if j == nil || waiting <= 0 {
@@ -95,7 +98,7 @@
 		Attempt: a.id, Seq: w.seq, AgentIncarnation: w.incarnation, StartBy: a.startBy,
 		RunLimit: min(remaining, c.cfg.RunLimit), Service: j.spec.Service,
 		Account: j.spec.Account, Payload: j.spec.Tasks[i].Payload, Acks: w.acks.take(),
-		Claim: c.claim(j.spec.Service), TaskName: j.spec.Tasks[i].Name, Size: a.size, Heard: w.vouch(),
+		Claim: c.claim(w), TaskName: j.spec.Tasks[i].Name, Size: a.size, Heard: w.vouch(),
 	})
 	c.progress(j)
 }
--- a/internal/core/entry/queue.go
+++ b/internal/core/entry/queue.go
@@ -22,6 +22,17 @@
 	accounts []*accountQueue
 	// idle is the number of slots believed free while tasks are dispatched.
 	idle int
+	// unplaced is the number of tasks for which the latest pass found no worker.
+	unplaced int
+}
+
+// waiting returns the number of queued tasks that may run now.
+func (s *serviceQueue) waiting() int {
+	n := 0
+	for _, a := range s.accounts {
+		n += a.use.Room(a.tasks)
+	}
+	return n
 }
 
 // accountQueue orders the jobs of one account. The job with the fewest
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -414,7 +414,7 @@
 
 func (c *Core) sendHeartbeat(now time.Time, w *worker) {
 	c.sendTo(now, w, msg.EntryHeartbeat{
-		Seq: w.seq, Revision: c.policy.Revision, Acks: w.acks.take(), Claim: c.claim(w.hello.Service), Heard: w.vouch(),
+		Seq: w.seq, Revision: c.policy.Revision, Acks: w.acks.take(), Claim: c.claim(w), Heard: w.vouch(),
 	})
 }
 
