Look at the workers once for each pass over a queue

Falling behind, it found all 54 workers slow and stopped tasks that had long ended. Change: a pass gathers the workers that may get a task once; a task larger than the largest room is passed over without a look; jobs behind one that waits are sorted once.

--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -19,32 +19,15 @@
 		s := c.queue.services[name]
 		if s.idle = 0; s.next() != nil {
 			s.idle = c.workers.idle(name)
-		}
-		c.round++
-		for {
-			j := s.nextIn(c.round)
-			if j == nil {
-				break
-			}
-			w := c.pick(now, j)
-			if w == nil && !j.sized() {
-				break
-			}
-			if w == nil {
-				// A smaller or more urgent job may still find room.
-				j.passed = c.round
-				continue
-			}
-			s.idle--
-			c.dispatch(now, j, w)
+			c.dispatchService(now, name, s)
 		}
 		s.unplaced = s.waiting()
 	}
 }
 
 // pick returns the worker for the next task of the job, or nil.
-func (c *Core) pick(now time.Time, j *job) *worker {
-	if w := c.pickLeased(now, j, j.waiting[0]); w != nil {
+func (c *Core) pick(now time.Time, s *serviceQueue, j *job) *worker {
+	if w := c.pickLeased(&s.pass, j, j.waiting[0]); w != nil {
 		return w
 	}
 	return c.workers.pick(now, j.spec.Service, c.rng)
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -83,8 +83,6 @@
 	// jobTypes holds the job types that failed and have not succeeded since.
 	jobTypes map[jobTypeKey]*jobTypeHealth
 	timers   timerHeap
-	// round numbers the passes over the queue; see job.passed.
-	round uint64
 	// dispatches counts all dispatches; see worker.seq.
 	dispatches uint64
 	// revoking lists workers with gathered revokes, in the order of the first.
--- a/internal/core/entry/export_test.go
+++ b/internal/core/entry/export_test.go
@@ -47,3 +47,7 @@
 	old.Revision--
 	c.setPolicy(c.now, old)
 }
+
+// Looks returns how many workers the latest pass over the service's queue looked
+// at.
+func (c *Core) Looks(service string) int { return c.queue.services[service].pass.looks }
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -36,8 +36,6 @@
 	startBy time.Time
 	// ran holds the tasks that have ended.
 	ran []ranAt
-	// passed is the latest pass over the queue that found no room for the job.
-	passed uint64
 	// left counts the unfinished tasks of each step.
 	left []int
 	// failing jobs wait only for the verdict on their dispatched tasks.
--- a/internal/core/entry/overload.go
+++ b/internal/core/entry/overload.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
@@ -28,36 +29,15 @@
 // others would take every core that becomes free before them.
 const urgentShare = 0.06
 
-// keptCores returns the cores of the service that a job has to leave free.
-func (c *Core) keptCores(j *job) float64 {
+// keptCores returns the cores of the service that a job has to leave free, minus
+// infinity for a job of the most urgent types.
+func (c *Core) keptCores(p *pass, j *job) float64 {
 	for _, t := range c.policy.Services[j.spec.Service].JobTypes {
 		if t.Priority < j.policy.Priority {
-			return urgentShare * c.workers.cores(j.spec.Service)
+			return urgentShare * p.cores
 		}
 	}
-	return 0
-}
-
-// cores returns the cores of all usable leased workers of the service.
-func (s *workerSet) cores(service string) float64 {
-	sum := 0.0
-	for _, w := range s.list {
-		if w.usable() && w.hello.Service == service {
-			sum += w.hello.Size.Cores
-		}
-	}
-	return sum
-}
-
-// freeCores returns what is believed free of them.
-func (s *workerSet) freeCores(service string) float64 {
-	sum := 0.0
-	for _, w := range s.list {
-		if w.usable() && w.hello.Service == service {
-			sum += w.room.Cores
-		}
-	}
-	return sum
+	return math.Inf(-1)
 }
 
 // restarts tells whether a task may be started again after an attempt that
--- a/internal/core/entry/pace.go
+++ b/internal/core/entry/pace.go
@@ -152,22 +152,10 @@
 	return false
 }
 
-// slowed tells whether a slow worker has to be left out now: it gets one trial
-// task at a time, some time after the last observation.
-func (c *Core) slowed(now time.Time, w *worker) bool {
-	if !w.pace.slow() || len(w.outstanding) == 0 && now.Sub(w.pace.at) >= paceMemory {
-		return false
-	}
-	slow, total := 0, 0
-	for _, other := range c.workers.list {
-		if other.usable() && other.hello.Service == w.hello.Service {
-			total++
-			if other.pace.slow() {
-				slow++
-			}
-		}
-	}
-	return slow <= max(1, total/slowDivisor)
+// slowed tells whether a slow worker has to be left out now, unless too many are
+// slow: it gets one trial task at a time, some time after the last observation.
+func (w *worker) slowed(now time.Time) bool {
+	return w.pace.slow() && (len(w.outstanding) > 0 || now.Sub(w.pace.at) < paceMemory)
 }
 
 // paceCost is what the pace takes from a worker's score.
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 )
@@ -25,15 +24,16 @@
 }
 
 // pickLeased returns the leased worker for a task, or nil.
-func (c *Core) pickLeased(now time.Time, j *job, task int) *worker {
+func (c *Core) pickLeased(p *pass, j *job, task int) *worker {
 	size, step := j.spec.Tasks[task].DeclaredSize, j.step(task)
-	if kept := c.keptCores(j); kept > 0 && c.workers.freeCores(j.spec.Service)-size.Cores < kept {
+	if p.hopeless(j) || p.free-size.Cores < c.keptCores(p, j) {
 		return nil
 	}
 	var best *worker
 	bestScore, ties := 0.0, 0
-	for _, w := range c.workers.list {
-		if !w.usable() || !w.hello.Leased() || w.hello.Service != j.spec.Service || !w.fits(size) || !w.mayTake(now) || !w.allowed(j, task, step) || c.slowed(now, w) {
+	p.looks += len(p.workers)
+	for _, w := range p.workers {
+		if !w.fits(size) || !w.allowed(j, task, step) {
 			continue
 		}
 		score := w.score(j, task, step)
@@ -47,6 +47,9 @@
 			}
 		}
 	}
+	if best == nil {
+		p.full()
+	}
 	return best
 }
 
--- a/internal/core/entry/queue.go
+++ b/internal/core/entry/queue.go
@@ -24,6 +24,10 @@
 	idle int
 	// unplaced is the number of tasks for which the latest pass found no worker.
 	unplaced int
+	// pass is the present pass over the queue.
+	pass pass
+	// others is reused from pass to pass.
+	others []queued
 }
 
 // waiting returns the number of queued tasks that may run now.
@@ -119,27 +123,6 @@
 	return best.jobs[0]
 }
 
-// nextIn returns the job whose task is dispatched next among those that the pass
-// has not passed over, or nil.
-func (s *serviceQueue) nextIn(round uint64) *job {
-	j := s.next()
-	if j == nil || j.passed != round {
-		return j
-	}
-	var best *job
-	for _, a := range s.accounts {
-		if !a.ready() {
-			continue
-		}
-		for _, other := range a.jobs {
-			if other.passed != round && (best == nil || other.before(best)) {
-				best = other
-			}
-		}
-	}
-	return best
-}
-
 // leastUsed returns the smallest use among accounts with queued tasks, so that
 // an account that was idle does not collect credit.
 func (s *serviceQueue) leastUsed() time.Duration {
@@ -189,14 +172,14 @@
 
 // Less implements heap.Interface.
 func (a *accountQueue) Less(x, y int) bool {
-	return a.jobs[x].before(a.jobs[y])
+	return a.jobs[x].compare(a.jobs[y]) < 0
 }
 
-// before orders the jobs of one account: by the time at which they have to start
+// compare orders the jobs of one account: by the time at which they have to start
 // where callers want the answer in a certain time, otherwise the one with the
 // fewest unfinished tasks first.
-func (j *job) before(o *job) bool {
-	return cmp.Or(j.startBy.Compare(o.startBy), cmp.Compare(j.unfinished, o.unfinished), cmp.Compare(j.spec.ID, o.spec.ID)) < 0
+func (j *job) compare(o *job) int {
+	return cmp.Or(j.startBy.Compare(o.startBy), cmp.Compare(j.unfinished, o.unfinished), cmp.Compare(j.spec.ID, o.spec.ID))
 }
 
 // Swap implements heap.Interface.
