Handle waiting inputs before a tick of the entry

Cause: the loop chose at random between an input and a tick, so a tick could judge a worker silent, or a task overdue, whose message waited to be read. Change: a tick comes after the inputs that waited when it was due.

--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -93,7 +93,7 @@
 		case f := <-l.inputs:
 			f(clock.Now())
 		case <-ticker.C:
-			l.core.Tick(clock.Now())
+			l.tick()
 		case <-ctx.Done():
 			l.core.Step(clock.Now(), entry.StopNow{})
 			l.carryOut()
@@ -104,6 +104,16 @@
 	}
 }
 
+// tick checks timeouts after the inputs that came before. Otherwise the silence of
+// a worker, or a task that is overdue, could be this process being behind.
+func (l *loop) tick() {
+	for range len(l.inputs) {
+		f := <-l.inputs
+		f(clock.Now())
+	}
+	l.core.Tick(clock.Now())
+}
+
 // closeLinks ends all streams, since the server's shutdown waits for them.
 func (l *loop) closeLinks() {
 	for _, box := range l.links {
