--- a/spec/check.sh
+++ b/spec/check.sh
@@ -62,6 +62,9 @@
     DROP_ON_ACK FORGET_MEANS_NEVER ACCEPT_ANY_REFUSAL RESTART_MEANS_NOT_RUN GIVE_UP_SAYS_NOT_RUN; do
     finds dispatch "MUT_$m" "-DSAFETY -DCOLLAPSE" ""
   done
+  for m in RELEASE_EARLY RESEND_EARLY NO_LEASE_END ANY_LIFE NO_BAR HOLD_BEFORE_STOP CONSTANT_TOKEN SETTLED_AT_ONCE; do
+    finds lease "MUT_$m" "-DSAFETY -DCOLLAPSE" ""
+  done
   for m in RESTARTED_ISSUER_RUNS FAILED_KEY_IS_UNUSED FORGET_USED OTHER_ENTRY_RUNS; do
     finds keys "MUT_$m" -DSAFETY ""
   done
@@ -73,6 +76,7 @@
 
 holds dispatch dispatch "-DSAFETY -DCOLLAPSE" ""
 holds dispatch-two-tasks dispatch "-DSAFETY -DCOLLAPSE" "" -DTASKS=2 -DTRIES=1
+holds lease lease "-DSAFETY -DCOLLAPSE" ""
 holds keys keys -DSAFETY ""
 holds config-safety config -DSAFETY -noclaim
 # Liveness needs fairness, which multiplies the states: two processes, two revisions.
