Let the pause between reports of room grow with the entries

Change: the pause is 5 ms for each linked entry, three times that without waiting tasks: as before with three or four entries, twice as long with eight.

--- a/internal/core/agent/roomnews.go
+++ b/internal/core/agent/roomnews.go
@@ -12,13 +12,14 @@
 // entry receives for each task that it runs.
 
 const (
-	// claimedPause and unclaimedPause are the shortest times between two reports of
-	// changed room to an entry, apart from those that travel with other messages:
-	// for one that has tasks waiting for room, and for one that has none. The first
-	// is a tick of the loops; the second is the time that a job with short tasks can
-	// wait.
-	claimedPause   = 20 * time.Millisecond
-	unclaimedPause = 60 * time.Millisecond
+	// linkPause times the number of linked entries is the shortest time between two
+	// reports of changed room to an entry that has tasks waiting for room, apart from
+	// those that travel with other messages. It bounds an agent to 200 reports a
+	// second, which three or four entries get as often as the loops tick.
+	linkPause = 5 * time.Millisecond
+	// unclaimedFactor multiplies the pause for an entry without waiting tasks. With a
+	// few entries that makes the time that a job of short tasks can wait.
+	unclaimedFactor = 3
 	// roomGrain is the smallest change of a worker's cores that is reported.
 	roomGrain = 0.5
 	// plentyShare is the free part of a worker's cores from which on a change says
@@ -31,9 +32,9 @@
 	if !c.endpoint.leased {
 		return false
 	}
-	pause := unclaimedPause
-	if e.claim.Waiting > 0 {
-		pause = claimedPause
+	pause := linkPause * time.Duration(len(c.entries.linked))
+	if e.claim.Waiting == 0 {
+		pause *= unclaimedFactor
 	}
 	if now.Sub(e.lastSent) < pause {
 		return false
