Collect garbage less often in an entry with a memory limit

Cause: an entry's live data is a few MB, so it collected garbage many times a second; on the grown sites processor time is what its jobs wait for.

--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -43,6 +43,7 @@
 		{"limits.max_queued", "Largest number of tasks that wait in this entry.", &s.Limits.MaxQueued, between(&s.Limits.MaxQueued, 1, 10_000_000), ""},
 		{"limits.max_tasks", "Largest job, in tasks.", &s.Limits.MaxTasks, between(&s.Limits.MaxTasks, 1, 1000), ""},
 		{"limits.max_payload", "Largest payload of one task.", &s.Limits.MaxPayload, bytesBetween(&s.Limits.MaxPayload, 1, 4<<20), ""},
+		{"limits.memory", "Memory that the process may use. It collects garbage less often while it uses less than half; 0B leaves that to the runtime.", &s.Limits.Memory, bytesBetween(&s.Limits.Memory, 0, 1<<38), ""},
 		{"timing.start_window", "How long after its dispatch a task may start at the agent.", &s.Timing.StartWindow, within(&s.Timing.StartWindow, shortest, longest), ""},
 		{"timing.suspect_after", "Silence after which a worker gets no new tasks; longer than heartbeat_interval.", &s.Timing.SuspectAfter, longer(&s.Timing.SuspectAfter, &s.Timing.HeartbeatInterval, "timing.heartbeat_interval"), ""},
 		{"timing.lost_after", "Silence after which a worker's tasks are given up; longer than suspect_after.", &s.Timing.LostAfter, longer(&s.Timing.LostAfter, &s.Timing.SuspectAfter, "timing.suspect_after"), ""},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -110,6 +110,8 @@
 	MaxQueued  int   `toml:"max_queued"`
 	MaxTasks   int   `toml:"max_tasks"`
 	MaxPayload Bytes `toml:"max_payload"`
+	// Memory is what the process may use, in all; zero means no limit.
+	Memory Bytes `toml:"memory"`
 }
 
 // EntryTiming holds an entry's timeouts and intervals.
