Write log lines to standard output, in the background

Cause: lines went to standard error, and each was a write of its own that the request waited for; a reader that stood still held up the process. Change: lines are copied to a queue of 2,048 and written in batches. When it is full, lines are lost, counted in poplarlever_log_lines_lost_total and reported by event 1006. The last lines of a process are waited for up to 300 ms. TestStuckReaderHoldsUpNoOne, TestSyncWaitsForTheLastLine.

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -31,6 +31,7 @@
 			if err != nil {
 				return err
 			}
+			defer func() { _ = log.Sync() }()
 			a, err := buildAgent(s, log)
 			if err != nil {
 				return err
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -35,7 +35,7 @@
 	log := zap.NewNop()
 	if level := cmd.String("log-level"); level != "" {
 		var err error
-		if log, err = logevent.NewLogger("console", level); err != nil {
+		if log, err = logevent.NewConsole(level); err != nil {
 			return cli.Exit("--log-level: "+err.Error(), ExitUsage)
 		}
 	}
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -33,6 +33,7 @@
 			if err != nil {
 				return err
 			}
+			defer func() { _ = log.Sync() }()
 			limitMemory(s.Limits.Memory.N)
 			d, err := buildEntry(s, log)
 			if err != nil {
--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -14,6 +14,7 @@
 	"github.com/poplarlever/poplarlever/internal/entryd"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/invariant"
+	"github.com/poplarlever/poplarlever/internal/logevent"
 	"github.com/poplarlever/poplarlever/internal/settings"
 	"github.com/poplarlever/poplarlever/internal/telemetry"
 	"github.com/poplarlever/poplarlever/internal/tlsconfig"
@@ -90,6 +91,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := m.ObserveLostLines(logevent.Dropped); err != nil {
+		return nil, err
+	}
 	return m, m.ObserveInvariants(invariantCounts)
 }
 
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -31,6 +31,7 @@
 	ProcessStopped   = define(1003, "process_stopped", zap.InfoLevel, "process stopped")
 	SettingsReloaded = define(1004, "settings_reloaded", zap.InfoLevel, "the settings were read again")
 	SettingsRejected = define(1005, "settings_rejected", zap.ErrorLevel, "the settings could not be applied; the ones before stay in force")
+	LinesLost        = define(1006, "log_lines_lost", zap.WarnLevel, "log lines were lost because they were not read in time")
 	WorkerLinked     = define(2001, "worker_linked", zap.InfoLevel, "an agent opened a link")
 	WorkerUnlinked   = define(2002, "worker_unlinked", zap.WarnLevel, "the link to an agent broke")
 	LinkMalformed    = define(2003, "link_malformed", zap.WarnLevel, "a message on a link could not be decoded")
@@ -51,6 +52,10 @@
 // Log writes the event with its number and name.
 func (e Event) Log(l *zap.Logger, fields ...zap.Field) {
 	if checked := l.Check(e.Level, e.Message); checked != nil {
-		checked.Write(append([]zap.Field{zap.Int("event", e.Number), zap.String("name", e.Name)}, fields...)...)
+		checked.Write(append(e.fields(), fields...)...)
 	}
 }
+
+func (e Event) fields() []zap.Field {
+	return []zap.Field{zap.Int("event", e.Number), zap.String("name", e.Name)}
+}
--- a/internal/processtest/process_test.go
+++ b/internal/processtest/process_test.go
@@ -56,11 +56,11 @@
 // start runs the program and, when it logs, waits until it serves.
 func start(c *qt.C, logs bool, args ...string) *process {
 	p := &process{cmd: exec.Command(program, args...), events: make(chan string, 10_000), ended: make(chan struct{})}
-	stderr, err := p.cmd.StderrPipe()
+	stdout, err := p.cmd.StdoutPipe()
 	c.Assert(err, qt.IsNil)
 	c.Assert(p.cmd.Start(), qt.IsNil)
 	addresses := make(chan string, 1)
-	go p.follow(bufio.NewScanner(stderr), addresses)
+	go p.follow(bufio.NewScanner(stdout), addresses)
 	c.Cleanup(func() {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -69,6 +69,16 @@
 	return err
 }
 
+// ObserveLostLines exports the number of log lines that were lost.
+func (m *Metrics) ObserveLostLines(count func() uint64) error {
+	_, err := m.meter.Int64ObservableCounter(lostLines.Name, metric.WithDescription(lostLines.Help),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(count()))
+			return nil
+		}))
+	return err
+}
+
 func boolean(b bool) int64 {
 	if b {
 		return 1
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -29,6 +29,7 @@
 		return telemetry.Gauges{QueuedTasks: 7, Revision: 3}, true
 	}), qt.IsNil)
 	c.Assert(m.ObserveInvariants(func() map[string]int64 { return map[string]int64{"one_start": 0} }), qt.IsNil)
+	c.Assert(m.ObserveLostLines(func() uint64 { return 0 }), qt.IsNil)
 	return m
 }
 
