Let entries stay away for a while in the joined random test

The test of dead entries could not fail: its tasks were shorter than the pause of the callers, and an entry that is back at once ends its predecessor's tasks. Some tasks now take 2.6 s and more, and an entry stays away for up to 2 s. With agents that never stop the tasks of a silent entry, it finds a task at two workers; so do TestLeasedTasksRunAtOneWorker with entries that release a silent worker at once, and with a successor that does not wait for what it stops.

--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -41,6 +41,8 @@
 	answers map[entry.Outcome]int
 	done    map[string]bool
 	calm    bool
+	// long makes some tasks take seconds.
+	long bool
 	// checked is when oneRun looked last.
 	checked time.Time
 }
@@ -84,8 +86,9 @@
 	links entry.LinkID
 	peers map[entry.LinkID]*leasedAgent
 	open  map[uint64]string
-	// pausedUntil is the end of a time in which the process stands still.
-	pausedUntil time.Time
+	// pausedUntil is the end of a time in which the process stands still, downUntil
+	// that in which there is none.
+	pausedUntil, downUntil time.Time
 }
 
 // leasedAgent is a worker with one agent process after the other.
@@ -145,6 +148,10 @@
 	a.lives++
 	a.worker = worker.New(lease.Life{ID: a.name, Born: a.lives}, w.now, workerCores, func(string) (time.Duration, lease.How) {
 		took := time.Duration(5+w.rng.IntN(500)) * time.Millisecond
+		if w.long && w.rng.IntN(8) == 0 {
+			// Such a task outlives the caller's pause.
+			took += 2 * resendPause
+		}
 		if w.rng.IntN(15) == 0 {
 			return took, lease.Failed
 		}
@@ -159,7 +166,7 @@
 // link opens a link from the agent to the entry.
 func (a *leasedAgent) link(e *leasedEntry) {
 	w := a.w
-	if w.now.Before(a.cutUntil) || w.now.Before(a.pausedUntil) || w.now.Before(e.pausedUntil) {
+	if w.now.Before(a.cutUntil) || w.now.Before(a.pausedUntil) || w.now.Before(e.pausedUntil) || w.now.Before(e.downUntil) {
 		return
 	}
 	for _, l := range a.links {
@@ -375,7 +382,7 @@
 func (w *leasedWorld) watch(name string, e *leasedEntry, id uint64, gen, left int) {
 	w.after(leasedTick, func() {
 		if e.gen != gen {
-			w.after(resendPause, func() { w.submit(name, w.entries[w.rng.IntN(leasedEntries)], left-1) })
+			w.after(resendPause, func() { w.submit(name, w.up(), left-1) })
 			return
 		}
 		if _, open := e.open[id]; open {
@@ -384,6 +391,15 @@
 	})
 }
 
+// up returns an entry that is there.
+func (w *leasedWorld) up() *leasedEntry {
+	e := w.entries[w.rng.IntN(leasedEntries)]
+	for w.now.Before(e.downUntil) {
+		e = w.entries[w.rng.IntN(leasedEntries)]
+	}
+	return e
+}
+
 // oneRun checks that no task runs at two workers, once in a millisecond: tasks take
 // five and more.
 func (w *leasedWorld) oneRun() {
@@ -459,12 +475,15 @@
 	w.after(time.Duration(w.rng.IntN(60))*time.Millisecond, w.load)
 }
 
-// crashes restarts entries now and then, while agents and workers are sound.
+// crashes kills an entry now and then, while agents and workers are sound, and
+// starts it again after a while.
 func (w *leasedWorld) crashes() {
 	if w.calm {
 		return
 	}
-	w.start(w.entries[w.rng.IntN(leasedEntries)])
+	e := w.entries[w.rng.IntN(leasedEntries)]
+	w.start(e)
+	e.downUntil = w.span(2 * time.Second)
 	w.after(time.Duration(2000+w.rng.IntN(4000))*time.Millisecond, w.crashes)
 }
 
@@ -523,12 +542,13 @@
 	for seed := range uint64(8) {
 		c := qt.New(t)
 		w := newLeasedWorld(c, seed)
+		w.long = true
 		w.after(time.Second, func() {
 			w.after(0, w.crashes)
 			var load func()
 			load = func() {
 				if !w.calm {
-					w.submit(fmt.Sprintf("job-%d", w.jobs), w.entries[w.rng.IntN(leasedEntries)], 2)
+					w.submit(fmt.Sprintf("job-%d", w.jobs), w.up(), 2)
 					w.after(time.Duration(w.rng.IntN(60))*time.Millisecond, load)
 				}
 			}
