--- a/internal/command/memory.go
+++ b/internal/command/memory.go
@@ -3,8 +3,8 @@
 import "runtime/debug"
 
 // garbagePercent lets the heap grow to five times the live data between two
-// collections. An entry's live data is a few MB, and each collection costs the
-// processor time of some ten jobs.
+// collections. An entry's live data is small, so that collections would otherwise
+// follow each other closely.
 const garbagePercent = 400
 
 // limitMemory makes a process collect garbage less often, as long as it uses less
--- a/internal/core/entry/pass.go
+++ b/internal/core/entry/pass.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/poplarlever/poplarlever/internal/core/msg"
 )
 
 // This file answers one load pattern: jobs keep coming while the workers are full,
@@ -71,12 +73,10 @@
 // hopeless tells whether no worker in the list has the cores for the job's next
 // task.
 func (p *pass) hopeless(j *job) bool {
-	return j.spec.Tasks[j.waiting[0]].DeclaredSize.Cores > p.most+coreSlack
+	needed := msg.Size{Cores: j.spec.Tasks[j.waiting[0]].DeclaredSize.Cores}
+	return !needed.Within(msg.Size{Cores: p.most})
 }
 
-// coreSlack absorbs the rounding of sums of cores.
-const coreSlack = 1e-6
-
 // dispatchService sends the service's queued tasks while a worker is believed to
 // have room. Once the job that comes first has to wait, a smaller or more urgent
 // one may still find room.
@@ -108,13 +108,21 @@
 	}
 	slices.SortFunc(s.others, func(x, y queued) int { return x.job.compare(y.job) })
 	for _, o := range s.others {
-		for o.account.ready() && len(o.job.waiting) > 0 && !s.pass.hopeless(o.job) && c.dispatchNext(now, s, o.job) {
-		}
+		c.dispatchAll(now, s, o)
 	}
 	clear(s.others)
 	s.others = s.others[:0]
 }
 
+// dispatchAll sends the job's tasks until one has to wait.
+func (c *Core) dispatchAll(now time.Time, s *serviceQueue, q queued) {
+	for q.account.ready() && len(q.job.waiting) > 0 {
+		if s.pass.hopeless(q.job) || !c.dispatchNext(now, s, q.job) {
+			return
+		}
+	}
+}
+
 // queued is a job in the queue of an account.
 type queued struct {
 	job     *job
--- a/internal/logevent/sink.go
+++ b/internal/logevent/sink.go
@@ -99,8 +99,10 @@
 		if lost := s.lost.Swap(0); lost > 0 {
 			batch = append(batch, s.report(lost)...)
 		}
-		// Nobody is left to be told of an error.
-		_, _ = s.out.Write(batch)
+		if _, err := s.out.Write(batch); err != nil {
+			// The log cannot report its own loss, so the metric does.
+			dropped.Add(uint64(taken))
+		}
 		s.add(-taken)
 	}
 }
