--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -68,7 +68,8 @@
 		Name: s.Name, Incarnation: incarnation, Seed: uint64(incarnation),
 		StartWindow: s.Timing.StartWindow.Duration, SuspectAfter: s.Timing.SuspectAfter.Duration,
 		LostAfter: s.Timing.LostAfter.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
-		AckDelay: s.Timing.AckDelay.Duration, RunLimit: s.Timing.RunLimit.Duration,
+		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration,
+		AckDelay:      s.Timing.AckDelay.Duration, RunLimit: s.Timing.RunLimit.Duration,
 		MaxQueued: s.Limits.MaxQueued, MaxTasks: s.Limits.MaxTasks, MaxPayload: s.Limits.MaxPayload.N,
 	}
 }
@@ -78,7 +79,7 @@
 		Worker: s.Worker, FailureDomain: s.FailureDomain, Incarnation: incarnation, Epoch: time.Time(zero),
 		LeaseTail:  lease.Tail(lease.Config{}),
 		ResultKeep: s.Timing.ResultKeep.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
-		EntrySilence: s.Timing.EntrySilence.Duration,
+		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration, EntrySilence: s.Timing.EntrySilence.Duration,
 	}
 }
 
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -21,8 +21,12 @@
 	Incarnation   msg.Incarnation
 	// ResultKeep is how long a result waits for its acknowledgement.
 	ResultKeep time.Duration
-	// HeartbeatInterval is the longest silence towards a linked entry.
+	// HeartbeatInterval is the longest silence towards a linked entry that has
+	// attempts running here.
 	HeartbeatInterval time.Duration
+	// IdleHeartbeat is the longest silence towards any other linked entry. One that
+	// is not longer than HeartbeatInterval means HeartbeatInterval.
+	IdleHeartbeat time.Duration
 	// EntrySilence is the silence after which a link to an entry is given up.
 	// Zero means defaultEntrySilence.
 	EntrySilence time.Duration
@@ -85,6 +89,7 @@
 	if cfg.EntrySilence <= 0 {
 		cfg.EntrySilence = defaultEntrySilence
 	}
+	cfg.IdleHeartbeat = max(cfg.IdleHeartbeat, cfg.HeartbeatInterval)
 	if cfg.GrantsPerDispatch <= 0 {
 		cfg.GrantsPerDispatch = defaultGrantsPerDispatch
 	}
@@ -173,7 +178,7 @@
 	c.closeSilent(now)
 	c.stopOrphans(now)
 	for _, e := range c.entries.linked {
-		if now.Sub(e.lastSent) >= c.cfg.HeartbeatInterval || c.roomNews(now, e) {
+		if c.heartbeatDue(now, e) || c.roomNews(now, e) {
 			c.send(now, e, msg.Heartbeat{Report: c.report(e), Revision: c.revision})
 		}
 	}
--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -88,7 +88,9 @@
 	if !c.endpoint.leased {
 		c.useGrant(e)
 	}
-	e.running++
+	if e.running++; e.running == 1 {
+		e.busySince = now
+	}
 	c.start(d)
 	c.claimed(now, e, d.Claim)
 }
--- a/internal/core/agent/entries.go
+++ b/internal/core/agent/entries.go
@@ -24,6 +24,8 @@
 	claim     msg.Claim
 	// running is the number of its attempts at the endpoint.
 	running int
+	// busySince is when running last rose from zero.
+	busySince time.Time
 	// vouched is the newest agent clock that the entry has repeated.
 	vouched time.Duration
 	// toldRoom is the room in the latest report to it.
@@ -165,7 +167,7 @@
 		if paused {
 			e.lastHeard = e.lastHeard.Add(min(gap, now.Sub(e.lastHeard)))
 		}
-		if now.Sub(e.lastHeard) >= c.cfg.EntrySilence {
+		if now.Sub(e.lastHeard) >= c.silenceLimit(e) {
 			silent = append(silent, e)
 		}
 	}
--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -43,6 +43,8 @@
 	calm    bool
 	// long makes some tasks take seconds.
 	long bool
+	// idleHeartbeat is the pace of heartbeats on links without tasks.
+	idleHeartbeat time.Duration
 	// checked is when oneRun looked last.
 	checked time.Time
 }
@@ -101,7 +103,8 @@
 	e.core = entry.New(entry.Config{
 		Name: e.name, Incarnation: inc, Seed: uint64(inc), StartWindow: 2 * time.Second,
 		SuspectAfter: 600 * time.Millisecond, LostAfter: 5 * time.Second, HeartbeatInterval: 200 * time.Millisecond,
-		AckDelay: 50 * time.Millisecond, RunLimit: time.Minute, MaxQueued: 1000, MaxTasks: 100, MaxPayload: 1 << 10,
+		IdleHeartbeat: w.idleHeartbeat,
+		AckDelay:      50 * time.Millisecond, RunLimit: time.Minute, MaxQueued: 1000, MaxTasks: 100, MaxPayload: 1 << 10,
 	})
 	e.peers, e.open = make(map[entry.LinkID]*leasedAgent), make(map[uint64]string)
 	e.core.Step(w.now, entry.SetPolicy{Policy: entry.Policy{
@@ -121,6 +124,7 @@
 	a.core = agent.New(agent.Config{
 		Worker: a.name, Incarnation: w.incarnation(), Epoch: a.epoch, LeaseTail: lease.Tail(lease.Config{}),
 		ResultKeep: time.Minute, HeartbeatInterval: 200 * time.Millisecond, EntrySilence: 1200 * time.Millisecond,
+		IdleHeartbeat: w.idleHeartbeat,
 	})
 }
 
@@ -478,10 +482,18 @@
 	w.now = end
 }
 
+// steadySeeds is the number of seeds that are played with one pace of heartbeats on
+// all links; later ones have a slower pace on links without tasks.
+const steadySeeds = 5
+
 func newLeasedWorld(c *qt.C, seed uint64) *leasedWorld {
 	w := &leasedWorld{
 		c: c, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0),
 		answers: make(map[entry.Outcome]int), done: make(map[string]bool),
+		
+	}
+	if seed >= steadySeeds {
+		w.idleHeartbeat = 2 * time.Second
 	}
 	for i := range leasedEntries {
 		e := &leasedEntry{w: w, name: fmt.Sprint("entry-", i)}
@@ -502,7 +514,7 @@
 // late calls, reborn workers, replaced, frozen and cut-off agents, and paused
 // entries. Guards as well against a job without an answer.
 func TestLeasedTasksRunAtOneWorker(t *testing.T) {
-	for seed := range uint64(5) {
+	for seed := range uint64(2 * steadySeeds) {
 		c := qt.New(t)
 		w := newLeasedWorld(c, seed)
 		w.after(time.Second, w.load)
@@ -519,7 +531,7 @@
 // Guards against two runs of one task at once when entries die and callers send
 // their jobs to another one.
 func TestLeasedTasksOfADeadEntryEnd(t *testing.T) {
-	for seed := range uint64(5) {
+	for seed := range uint64(2 * steadySeeds) {
 		c := qt.New(t)
 		w := newLeasedWorld(c, seed)
 		w.long = true
--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -63,6 +63,9 @@
 	c.dispatches++
 	w.seq++
 	w.take(j.spec.Tasks[i].DeclaredSize)
+	if !w.busy() {
+		w.renewClock(now)
+	}
 	remaining := j.spec.Deadline.Sub(now)
 	a := &attempt{
 		id:  msg.AttemptID{Entry: c.cfg.Incarnation, Job: j.spec.ID, Task: uint32(i), Attempt: t.attempts},
@@ -81,7 +84,7 @@
 		Attempt: a.id, Seq: w.seq, AgentIncarnation: w.incarnation, StartBy: a.startBy,
 		RunLimit: min(remaining, c.cfg.RunLimit), Service: j.spec.Service,
 		Account: j.spec.Account, Payload: j.spec.Tasks[i].Payload, Acks: w.acks.take(),
-		Claim: c.claim(w), TaskName: j.spec.Tasks[i].Name, Size: a.size, Heard: w.vouch(),
+		Claim: c.tell(w), TaskName: j.spec.Tasks[i].Name, Size: a.size, Heard: w.vouch(),
 	})
 	c.progress(j)
 }
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -28,12 +28,17 @@
 	Seed        uint64
 	// StartWindow is how long after its dispatch an attempt may start.
 	StartWindow time.Duration
-	// SuspectAfter is the silence after which a worker gets no new tasks.
+	// SuspectAfter is the silence after which a worker with outstanding attempts gets
+	// no new tasks, counted from the first of them at the earliest.
 	SuspectAfter time.Duration
 	// LostAfter is the silence after which a worker's attempts are given up.
 	LostAfter time.Duration
-	// HeartbeatInterval is the longest silence towards an agent.
+	// HeartbeatInterval is the longest silence towards an agent with outstanding
+	// attempts.
 	HeartbeatInterval time.Duration
+	// IdleHeartbeat is the longest silence towards any other agent. One that is not
+	// longer than HeartbeatInterval means HeartbeatInterval.
+	IdleHeartbeat time.Duration
 	// AskAfter is how long after its dispatch an attempt without an answer is
 	// asked about, by a revoke that a running attempt survives. The pause
 	// doubles with each question. Zero means defaultAskAfter.
@@ -96,6 +101,7 @@
 	if cfg.AskAfter <= 0 {
 		cfg.AskAfter = defaultAskAfter
 	}
+	cfg.IdleHeartbeat = max(cfg.IdleHeartbeat, cfg.HeartbeatInterval)
 	use := limits.NewLedger()
 	return &Core{
 		cfg:      cfg,
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -60,9 +60,13 @@
 	covered     uint64
 	revision    uint64
 	outstanding []*attempt
-	lastHeard   time.Time
-	lastSent    time.Time
-	tableSent   time.Time
+	// busySince is when outstanding last rose from zero.
+	busySince time.Time
+	// toldClaim tells whether the latest claim that was sent named waiting tasks.
+	toldClaim bool
+	lastHeard time.Time
+	lastSent  time.Time
+	tableSent time.Time
 	// clock is the agent's clock when it sent the latest message, which
 	// arrived at clockSeen.
 	clock     time.Duration
@@ -83,6 +87,9 @@
 func (w *worker) clockAt(now time.Time) time.Duration { return w.clock + now.Sub(w.clockSeen) }
 
 func (w *worker) add(a *attempt) {
+	if !w.busy() {
+		w.busySince = a.sent
+	}
 	a.index = len(w.outstanding)
 	w.outstanding = append(w.outstanding, a)
 }
@@ -384,12 +391,11 @@
 	var lost []*worker
 	for _, w := range c.workers.list {
 		c.releaseAttempts(now, w)
-		silence := now.Sub(w.lastHeard)
-		if silence >= c.cfg.LostAfter {
+		if now.Sub(w.lastHeard) >= c.lostAfter(w) {
 			lost = append(lost, w)
 			continue
 		}
-		if silence >= c.cfg.SuspectAfter && w.state == workerUp {
+		if c.silentTooLong(now, w) && w.state == workerUp {
 			w.state = workerSuspect
 		}
 		c.keepLink(now, w)
@@ -406,7 +412,7 @@
 	if !w.linked() {
 		return
 	}
-	if now.Sub(w.lastSent) >= c.cfg.HeartbeatInterval {
+	if c.heartbeatDue(now, w) {
 		c.sendHeartbeat(now, w)
 	}
 	c.sendAcks(now, w)
@@ -414,7 +420,7 @@
 
 func (c *Core) sendHeartbeat(now time.Time, w *worker) {
 	c.sendTo(now, w, msg.EntryHeartbeat{
-		Seq: w.seq, Revision: c.policy.Revision, Acks: w.acks.take(), Claim: c.claim(w), Heard: w.vouch(),
+		Seq: w.seq, Revision: c.policy.Revision, Acks: w.acks.take(), Claim: c.tell(w), Heard: w.vouch(),
 	})
 }
 
--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -80,6 +80,19 @@
 	}
 }
 
+// notShorter checks that an interval is at least another one.
+func notShorter(value, than *Duration, key string) func() error {
+	return func() error {
+		if err := within(value, shortest, longest)(); err != nil {
+			return err
+		}
+		if value.Duration < than.Duration {
+			return fault("%s is shorter than %s (%s)", value, key, than)
+		}
+		return nil
+	}
+}
+
 func oneOf(value *string, allowed ...string) func() error {
 	return func() error {
 		if !slices.Contains(allowed, *value) {
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -47,7 +47,8 @@
 		Timing: EntryTiming{
 			StartWindow: Duration{DefaultStartWindow}, SuspectAfter: Duration{DefaultSuspectAfter},
 			LostAfter: Duration{DefaultLostAfter}, HeartbeatInterval: Duration{DefaultHeartbeatInterval},
-			AckDelay: Duration{DefaultAckDelay}, RunLimit: Duration{DefaultRunLimit},
+			IdleHeartbeat: Duration{DefaultHeartbeatInterval},
+			AckDelay:      Duration{DefaultAckDelay}, RunLimit: Duration{DefaultRunLimit},
 		},
 	}
 }
@@ -61,6 +62,7 @@
 		Store: Store{Protocol: ProtocolNative},
 		Timing: AgentTiming{
 			ResultKeep: Duration{DefaultResultKeep}, EntrySilence: Duration{DefaultEntrySilence}, HeartbeatInterval: Duration{DefaultHeartbeatInterval},
+			IdleHeartbeat: Duration{DefaultHeartbeatInterval},
 		},
 	}
 }
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -47,7 +47,8 @@
 		{"timing.start_window", "How long after its dispatch a task may start at the agent.", &s.Timing.StartWindow, within(&s.Timing.StartWindow, shortest, longest), ""},
 		{"timing.suspect_after", "Silence after which a worker gets no new tasks; longer than heartbeat_interval.", &s.Timing.SuspectAfter, longer(&s.Timing.SuspectAfter, &s.Timing.HeartbeatInterval, "timing.heartbeat_interval"), ""},
 		{"timing.lost_after", "Silence after which a worker's tasks are given up; longer than suspect_after.", &s.Timing.LostAfter, longer(&s.Timing.LostAfter, &s.Timing.SuspectAfter, "timing.suspect_after"), ""},
-		{"timing.heartbeat_interval", "Longest silence of this entry towards an agent.", &s.Timing.HeartbeatInterval, within(&s.Timing.HeartbeatInterval, shortest, longest), ""},
+		{"timing.heartbeat_interval", "Longest silence of this entry towards an agent that has tasks of it.", &s.Timing.HeartbeatInterval, within(&s.Timing.HeartbeatInterval, shortest, longest), ""},
+		{"timing.idle_heartbeat", "Longest silence of this entry towards any other agent; not shorter than heartbeat_interval. A worker without tasks that falls silent is noticed later by two of them, or after suspect_after once it gets a task.", &s.Timing.IdleHeartbeat, notShorter(&s.Timing.IdleHeartbeat, &s.Timing.HeartbeatInterval, "timing.heartbeat_interval"), ""},
 		{"timing.ack_delay", "How long an acknowledgement waits for other traffic.", &s.Timing.AckDelay, within(&s.Timing.AckDelay, 0, 10*time.Second), ""},
 		{"timing.run_limit", "Longest time that an endpoint may take for one task.", &s.Timing.RunLimit, within(&s.Timing.RunLimit, shortest, 24*time.Hour), ""},
 	}
@@ -78,7 +79,8 @@
 		logFormat(&s.Log), logLevel(&s.Log),
 		{"timing.result_keep", "How long a result waits for its acknowledgement.", &s.Timing.ResultKeep, within(&s.Timing.ResultKeep, shortest, 24*time.Hour), ""},
 		{"timing.entry_silence", "Silence of an entry after which its link is given up and dialled anew; several times the entries' heartbeat_interval.", &s.Timing.EntrySilence, within(&s.Timing.EntrySilence, shortest, longest), ""},
-		{"timing.heartbeat_interval", "Longest silence of this agent towards an entry.", &s.Timing.HeartbeatInterval, within(&s.Timing.HeartbeatInterval, shortest, longest), ""},
+		{"timing.heartbeat_interval", "Longest silence of this agent towards an entry that has tasks here.", &s.Timing.HeartbeatInterval, within(&s.Timing.HeartbeatInterval, shortest, longest), ""},
+		{"timing.idle_heartbeat", "Longest silence of this agent towards any other entry; not shorter than heartbeat_interval, and the same as the entries'.", &s.Timing.IdleHeartbeat, notShorter(&s.Timing.IdleHeartbeat, &s.Timing.HeartbeatInterval, "timing.heartbeat_interval"), ""},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,6 +120,7 @@
 	SuspectAfter      Duration `toml:"suspect_after"`
 	LostAfter         Duration `toml:"lost_after"`
 	HeartbeatInterval Duration `toml:"heartbeat_interval"`
+	IdleHeartbeat     Duration `toml:"idle_heartbeat"`
 	AckDelay          Duration `toml:"ack_delay"`
 	RunLimit          Duration `toml:"run_limit"`
 }
@@ -129,4 +130,5 @@
 	ResultKeep        Duration `toml:"result_keep"`
 	EntrySilence      Duration `toml:"entry_silence"`
 	HeartbeatInterval Duration `toml:"heartbeat_interval"`
+	IdleHeartbeat     Duration `toml:"idle_heartbeat"`
 }
--- a/spec/lease.pml
+++ b/spec/lease.pml
@@ -4,7 +4,9 @@
  * Worker 0 has two agent processes, one after the other; each start may be lost
  * or carried out late. Worker 1 stands for "elsewhere": the entry, or after its
  * loss another entry to which the caller sends the job again, starts the task
- * there once the run at worker 0 is proven over. Time advances in ticks. A tick
+ * there once the run at worker 0 is proven over. The dispatch vouches for the
+ * attempt with an estimate of the agent's clock, which may lag, and arrives at any
+ * later time. Time advances in ticks. A tick
  * waits for what has to happen at once: the end of a lease, and the stop by an
  * agent that is up.
  *
@@ -15,6 +17,18 @@
 #define ORPHAN 2             /* age of the newest vouching at which an agent stops a task */
 #define STOP 1               /* ticks that a stop takes */
 #define LAST 9               /* end of time */
+#define LAST_DISPATCH 1      /* latest time at which the entry sends the dispatch */
+
+#ifdef MUT_ESTIMATE_AHEAD
+#define ESTIMATE (now + 3)   /* an estimate that runs ahead of the agent's clock */
+#else
+#define ESTIMATE now
+#endif
+#ifdef MUT_ACCEPT_OLD_DISPATCH
+#define FRESH true
+#else
+#define FRESH (now < heard + ORPHAN)
+#endif
 
 #ifdef MUT_RELEASE_EARLY
 #define RELEASE ORPHAN       /* forgets that the lease outlives the last renewal */
@@ -46,6 +60,7 @@
 bool agentUp = true;
 bool cleared = true;         /* nothing of an earlier agent runs */
 bool dispatched0;            /* the first agent took the attempt */
+byte vouched;                /* newest time that the agent knows the entry to be alive */
 bool stopAnswered;
 bool saidOver;               /* told the entry that the run is over or never was */
 byte token = 1;
@@ -53,7 +68,9 @@
 /* The entry. */
 bool entryDead;
 byte diedAt;
-byte vouched;                /* newest time that the agent knows the entry to be alive */
+bool sentDispatch;
+byte heard;                  /* the agent's clock as the dispatch repeats it */
+byte vouchedAt;              /* when the entry vouched last, by its own clock */
 bool linkDown;
 bool elsewhere;              /* the task runs at worker 1 */
 
@@ -96,8 +113,8 @@
 /* The agent that took the attempt. */
 proctype First() {
   do
-  :: atomic { now == 0 && agentUp && agent == 0 && !dispatched0 && !entryDead ->
-     dispatched0 = true; vouched = now; sentStart = true;
+  :: atomic { sentDispatch && agentUp && agent == 0 && !dispatched0 && FRESH ->
+     dispatched0 = true; vouched = (heard > vouched -> heard : vouched); sentStart = true;
      startUntil = now + TERM; startFence = token; startLife = life }
   /* A hold renews the lease while the entry vouches for the task. */
   :: atomic { agentUp && agent == 0 && running && !stopAnswered && now < vouched + ORPHAN && token >= fence ->
@@ -154,12 +171,18 @@
  * once the run is over. When it dies, the caller sends the job to another. */
 proctype Entry() {
   do
-  :: atomic { !entryDead && !linkDown && dispatched0 && !elsewhere -> vouched = now }
+  :: atomic { !entryDead && !linkDown && !sentDispatch && now <= LAST_DISPATCH ->
+     sentDispatch = true; vouchedAt = now;
+     if
+     :: heard = ESTIMATE
+     :: now > 0 -> heard = ESTIMATE - 1
+     fi }
+  :: atomic { !entryDead && !linkDown && dispatched0 && !elsewhere -> vouched = now; vouchedAt = now }
   :: atomic { !linkDown -> linkDown = true }
   :: atomic { !entryDead && dispatched0 && saidOver && !elsewhere -> elsewhere = true; check() }
-  :: atomic { !entryDead && dispatched0 && linkDown && !elsewhere && now >= vouched + RELEASE ->
+  :: atomic { !entryDead && sentDispatch && linkDown && !elsewhere && now >= vouchedAt + RELEASE ->
      elsewhere = true; check() }
-  :: atomic { !entryDead && !elsewhere && dispatched0 -> entryDead = true; diedAt = now }
+  :: atomic { !entryDead && !elsewhere && sentDispatch -> entryDead = true; diedAt = now }
   :: atomic { entryDead && !elsewhere && now >= diedAt + RESEND -> elsewhere = true; check() }
   :: now == LAST -> break
   od
