Let an agent link to a bounded set of entries, most of them near

Cause: each agent linked to every entry, 5,600 links on the large site, and every change of the list of entries was sent to every agent (596 lists, 970 KB, from one entry while the fleet started; trial with debug counters).

Lists of linked entries add up, each names its sender. An entry that cannot be reached for 2 s is dialled further with another one beside it; a link that is not chosen any more ends once nothing needs it (Part). The store is asked for entries before the first dial, since all agents know the same three addresses. New lists go to agents at most once a second. A worker in another failure domain needs a quarter more of its cores free to be preferred.

TestAgentsLearnTheEntries waits for a tick.

--- a/internal/agentd/cancel_test.go
+++ b/internal/agentd/cancel_test.go
@@ -62,7 +62,7 @@
 	}
 	ctx, cancel := context.WithCancel(c.Context())
 	returned = make(chan struct{})
-	go func() { defer close(returned); _ = k.link(ctx) }()
+	go func() { defer close(returned); _, _ = k.link(ctx) }()
 	c.Cleanup(func() {
 		cancel()
 		stopLoop()
@@ -77,7 +77,7 @@
 // with the first Welcome.
 func TestSecondListInTheFirstFrame(t *testing.T) {
 	c := qt.New(t)
-	r := newRoster("w", nil, 0)
+	r := newRoster("w", "", nil, 0)
 	dialled := make(chan string, 8)
 	r.start = func(_ context.Context, address string) { dialled <- address }
 	r.run(c.Context())
@@ -102,7 +102,7 @@
 func TestGivenUpLinkEndsAtBothEnds(t *testing.T) {
 	c := qt.New(t)
 	stub := &stubEntry{lists: [][]msg.Peer{nil}}
-	cancel, returned := startLink(c, stub, newRoster("w", nil, 0))
+	cancel, returned := startLink(c, stub, newRoster("w", "", nil, 0))
 	<-stub.welcomed
 	cancel()
 	for name, ended := range map[string]chan struct{}{"agent": returned, "entry": stub.ended} {
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/agent"
 	"github.com/poplarlever/poplarlever/internal/core/lease"
+	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/linkpb"
 	"github.com/poplarlever/poplarlever/internal/logevent"
@@ -46,7 +47,7 @@
 		loop: newLoop(core), server: server, worker: worker, epoch: epoch, log: log,
 		opts: newOptions(with), identity: newIdentityCheck(), hurry: make(chan struct{}),
 	}
-	d.roster = newRoster(worker, entries, d.opts.links)
+	d.roster = newRoster(worker, d.opts.domain, entries, d.opts.links)
 	d.loop.metrics = d.opts.metrics
 	d.loop.endpoint = newEndpointClient(maxConnections)
 	d.loop.log = log
@@ -86,10 +87,7 @@
 	defer stopAll()
 	go d.loop.run(runCtx)
 	go d.watchEndpoint(runCtx)
-	d.dial(runCtx)
-	if d.opts.directory != nil {
-		go d.followDirectory(runCtx)
-	}
+	go d.findEntries(runCtx)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- d.server.Serve() }()
 	d.server.SetReady(true)
@@ -129,6 +127,7 @@
 			d.roster.ended(address)
 		}()
 	}
+	d.roster.part = func(entry msg.Incarnation) { d.loop.step(agent.Part{Entry: entry}) }
 	d.roster.run(ctx)
 }
 
--- a/internal/agentd/directory.go
+++ b/internal/agentd/directory.go
@@ -23,6 +23,9 @@
 	// knew may have been replaced.
 	lonelyInterval = time.Second
 	directoryLimit = time.Second
+	// firstDirectoryLimit bounds the wait for the first list, without which only the
+	// entries of the settings are known: all agents of a fleet know the same few.
+	firstDirectoryLimit = 300 * time.Millisecond
 )
 
 // Directory returns the entries that are listed in the store.
@@ -50,6 +53,29 @@
 // them when all that it knew have been replaced.
 func WithDirectory(d Directory) Option { return func(o *options) { o.directory = d } }
 
+// findEntries reads the list of entries, then keeps links and follows the list
+// until ctx ends.
+func (d *Daemon) findEntries(ctx context.Context) {
+	if d.opts.directory != nil {
+		d.readDirectory(ctx, firstDirectoryLimit)
+	}
+	d.dial(ctx)
+	if d.opts.directory != nil {
+		d.followDirectory(ctx)
+	}
+}
+
+func (d *Daemon) readDirectory(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	peers, err := d.opts.directory(ctx)
+	if err != nil {
+		logevent.DirectoryUnread.Log(d.log, zap.Error(err))
+		return
+	}
+	d.roster.discover(peers)
+}
+
 // followDirectory reads the list of entries until ctx ends.
 func (d *Daemon) followDirectory(ctx context.Context) {
 	last := time.Now()
@@ -58,13 +84,6 @@
 			continue
 		}
 		last = time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, directoryLimit)
-		peers, err := d.opts.directory(callCtx)
-		cancel()
-		if err != nil {
-			logevent.DirectoryUnread.Log(d.log, zap.Error(err))
-			continue
-		}
-		d.roster.discover(peers)
+		d.readDirectory(ctx, directoryLimit)
 	}
 }
--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -68,7 +68,11 @@
 // run dials until ctx ends.
 func (k *linker) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := k.link(ctx); err != nil && ctx.Err() == nil {
+		linked, err := k.link(ctx)
+		if !linked {
+			k.roster.failed(time.Now(), k.address)
+		}
+		if err != nil && ctx.Err() == nil {
 			logevent.EntryUnlinked.Log(k.log, zap.String("address", k.address), zap.Error(err))
 		}
 		pause := redialMin + rand.N(redialMax-redialMin)
@@ -79,8 +83,9 @@
 	}
 }
 
-// link opens one stream and serves it until it breaks.
-func (k *linker) link(parent context.Context) error {
+// link opens one stream and serves it until it breaks. It tells whether the entry
+// accepted the link.
+func (k *linker) link(parent context.Context) (linked bool, err error) {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	client := httpserver.NewLinkClient(k.tls)
@@ -90,7 +95,7 @@
 	var hello msg.Hello
 	ready := make(chan struct{})
 	if !k.loop.do(func(time.Time) { hello = k.loop.core.Hello(); close(ready) }) {
-		return context.Canceled
+		return false, context.Canceled
 	}
 	<-ready
 	first := linkpb.EncodeFromAgent(hello)
@@ -99,11 +104,11 @@
 		k.loop.metrics.Sent(first)
 	}
 	if err := k.send(stream, []*pb.AgentMessage{first}); err != nil {
-		return err
+		return false, err
 	}
 	welcome, rest, err := k.receiveWelcome(stream)
 	if err != nil {
-		return err
+		return false, err
 	}
 	k.identity.accepted()
 	box := newOutgoing(cancel, k.loop.metrics, k.counter)
@@ -114,7 +119,7 @@
 	})
 	k.roster.up(k.address, welcome.Incarnation)
 	defer k.roster.down(k.address, welcome.Incarnation)
-	k.roster.learn(welcome.Peers)
+	k.roster.learn(k.address, welcome.Peers)
 	k.received(welcome.Incarnation, rest)
 	logevent.EntryLinked.Log(k.log, zap.String("entry", welcome.Entry), zap.String("address", k.address))
 	go k.sendAll(ctx, cancel, box, stream)
@@ -125,7 +130,7 @@
 			k.loop.core.Step(now, agent.LinkDown{Entry: welcome.Incarnation})
 		}
 	})
-	return err
+	return true, err
 }
 
 // repeatHello sends Hello again when the endpoint has announced itself while
@@ -190,7 +195,7 @@
 func (k *linker) received(entry msg.Incarnation, messages []msg.FromEntry) {
 	for _, m := range messages {
 		if w, ok := m.(msg.Welcome); ok {
-			k.roster.learn(w.Peers)
+			k.roster.learn(k.address, w.Peers)
 			continue
 		}
 		k.loop.step(agent.Received{Entry: entry, Message: m})
--- a/internal/agentd/options.go
+++ b/internal/agentd/options.go
@@ -12,6 +12,7 @@
 
 type options struct {
 	links      int
+	domain     string
 	readyDelay time.Duration
 	metrics    *telemetry.Metrics
 	clientTLS  *tls.Config
@@ -38,6 +39,9 @@
 // all of them.
 func WithLinks(n int) Option { return func(o *options) { o.links = n } }
 
+// WithFailureDomain names the agent's failure domain, in which it prefers entries.
+func WithFailureDomain(domain string) Option { return func(o *options) { o.domain = domain } }
+
 // WithReadyDelay keeps a stopping agent working for a while after /readyz has
 // begun to answer 503.
 func WithReadyDelay(delay time.Duration) Option {
--- a/internal/agentd/roster.go
+++ b/internal/agentd/roster.go
@@ -2,25 +2,36 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/subset"
 )
 
+// replaceAfter is how long the dials of a chosen entry fail until another one is
+// chosen beside it: longer than an entry that is restarted takes to be back.
+const replaceAfter = 2 * time.Second
+
 // roster decides which entries the agent keeps links to. It starts with the
-// addresses of the settings and follows the lists of entries that linked
-// entries send. It is safe for concurrent use.
+// addresses of the settings and follows the store's list and the lists that
+// linked entries send. It is safe for concurrent use.
 type roster struct {
-	worker     string
-	limit      int
-	configured []msg.Peer
+	worker, domain string
+	limit          int
+	configured     []msg.Peer
 	// start begins to keep a link to the address until the context ends, and calls
 	// ended after that. It does not block.
 	start func(ctx context.Context, address string)
+	// part ends the link to an entry once its tasks here have ended.
+	part func(entry msg.Incarnation)
 
-	mu      sync.Mutex
-	ctx     context.Context
-	learned []msg.Peer
+	mu  sync.Mutex
+	ctx context.Context
+	// learned holds the newest list of each address. Lists of entries that are not
+	// linked any more count only while no entry is linked.
+	learned map[string][]msg.Peer
 	// listed are the entries in the store.
 	listed  []msg.Peer
 	dialled map[string]*dialled
@@ -33,9 +44,13 @@
 	cancel context.CancelFunc
 	// linked is the incarnation of the entry that is linked now, or zero.
 	linked msg.Incarnation
+	// failing is when the dials that failed since the last link began, or zero.
+	failing time.Time
 	// ending is set when the linker was told to stop and has not returned. Two
 	// linkers of one entry at once could end each other's link.
 	ending bool
+	// parting is set when the present link was told to end.
+	parting bool
 }
 
 func (d *dialled) stop() {
@@ -43,10 +58,10 @@
 	d.cancel()
 }
 
-func newRoster(worker string, addresses []string, limit int) *roster {
+func newRoster(worker, domain string, addresses []string, limit int) *roster {
 	return &roster{
-		worker: worker, limit: limit, configured: peersAt(addresses),
-		dialled: make(map[string]*dialled), aliases: make(map[string]string),
+		worker: worker, domain: domain, limit: limit, configured: peersAt(addresses), part: func(msg.Incarnation) {},
+		learned: make(map[string][]msg.Peer), dialled: make(map[string]*dialled), aliases: make(map[string]string),
 	}
 }
 
@@ -71,6 +86,10 @@
 func (r *roster) linked() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.anyLinked()
+}
+
+func (r *roster) anyLinked() bool {
 	for _, d := range r.dialled {
 		if d.linked != 0 {
 			return true
@@ -95,17 +114,30 @@
 	r.choose()
 }
 
-// learn takes over the list of an entry that is linked.
-func (r *roster) learn(peers []msg.Peer) {
+// learn takes over the list of the entry that is linked at the address.
+func (r *roster) learn(address string, peers []msg.Peer) {
 	if len(peers) == 0 {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.learned = peers
+	r.learned[address] = peers
+	r.forgetLists()
 	r.choose()
 }
 
+// forgetLists drops the lists of entries that are not linked, unless none is.
+func (r *roster) forgetLists() {
+	if !r.anyLinked() {
+		return
+	}
+	for address := range r.learned {
+		if d := r.dialled[address]; d == nil || d.linked == 0 {
+			delete(r.learned, address)
+		}
+	}
+}
+
 // up notes that the entry at the address accepted a link. Another address of
 // the same entry is given up, since an entry keeps one link to each agent.
 func (r *roster) up(address string, entry msg.Incarnation) {
@@ -118,7 +150,7 @@
 		}
 	}
 	if d := r.dialled[address]; d != nil {
-		d.linked = entry
+		d.linked, d.parting, d.failing = entry, false, time.Time{}
 	}
 }
 
@@ -129,6 +161,7 @@
 	if d := r.dialled[address]; d != nil && d.linked == entry {
 		d.linked = 0
 	}
+	r.forgetLists()
 	r.choose()
 }
 
@@ -140,49 +173,91 @@
 	r.choose()
 }
 
-// choose starts links to chosen entries and gives up attempts to reach others.
-// A link that is up stays until it ends, so that no result has to find another
-// way.
-func (r *roster) choose() {
+// failed notes that a dial of the address has failed.
+func (r *roster) failed(now time.Time, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.dialled[address]
+	if d == nil {
+		return
+	}
+	if d.failing.IsZero() {
+		d.failing = now
+	}
+	r.chooseAt(now)
+}
+
+// unreachable tells whether another entry is needed in place of the address.
+func (r *roster) unreachable(now time.Time, address string) bool {
+	d := r.dialled[address]
+	return d != nil && d.linked == 0 && !d.failing.IsZero() && now.Sub(d.failing) >= replaceAfter
+}
+
+func (r *roster) choose() { r.chooseAt(time.Now()) }
+
+// chooseAt starts links to chosen entries and gives up attempts to reach others.
+// An entry that cannot be reached is dialled further, with another one beside it. A
+// link to an entry that is not chosen any more ends once all chosen ones are linked
+// that can be reached.
+func (r *roster) chooseAt(now time.Time) {
 	if r.ctx == nil || r.ctx.Err() != nil {
 		return
 	}
+	candidates := r.candidates()
+	reachable := slices.DeleteFunc(slices.Clone(candidates), func(e msg.Peer) bool { return r.unreachable(now, e.Address) })
 	wanted := make(map[string]bool)
-	for _, e := range pickEntries(r.worker, r.candidates(), r.limit) {
+	complete := len(reachable) > 0
+	for _, e := range subset.Choose(r.worker, r.domain, reachable, r.limit) {
+		wanted[e.Address] = true
+		d := r.dialled[e.Address]
+		complete = complete && d != nil && d.linked != 0 && !d.parting
+	}
+	for _, e := range subset.Choose(r.worker, r.domain, candidates, r.limit) {
 		wanted[e.Address] = true
-		if r.dialled[e.Address] == nil {
+	}
+	for address := range wanted {
+		if r.dialled[address] == nil {
 			ctx, cancel := context.WithCancel(r.ctx)
-			r.dialled[e.Address] = &dialled{cancel: cancel}
-			r.start(ctx, e.Address)
+			r.dialled[address] = &dialled{cancel: cancel}
+			r.start(ctx, address)
 		}
 	}
 	for address, d := range r.dialled {
-		if !wanted[address] && d.linked == 0 && !d.ending {
+		switch {
+		case wanted[address]:
+		case d.linked == 0 && !d.ending:
 			d.stop()
+		case d.linked != 0 && !d.parting && complete && r.limit > 0:
+			d.parting = true
+			r.part(d.linked)
 		}
 	}
 }
 
-// candidates returns the entries to choose from: the learned list, that of the
-// store and the addresses of the settings, but for those that turned out to be another address
-// of a linked entry. Addresses of the settings are never given up because of a
-// list, since lists grow one entry at a time while a fleet starts.
+// candidates returns the entries to choose from: those that linked entries name,
+// those in the store and the addresses of the settings, but for addresses that
+// turned out to be another one of a linked entry. Addresses of the settings are never
+// given up because of a list, since lists grow one entry at a time while a fleet
+// starts.
 func (r *roster) candidates() []msg.Peer {
-	list := append([]msg.Peer(nil), r.learned...)
+	var list []msg.Peer
 	known := make(map[string]bool)
-	for _, e := range list {
-		known[e.Address] = true
-	}
-	for _, e := range r.listed {
-		if !known[e.Address] {
-			known[e.Address] = true
-			list = append(list, e)
+	add := func(peers []msg.Peer) {
+		for _, e := range peers {
+			if !known[e.Address] {
+				known[e.Address] = true
+				list = append(list, e)
+			}
 		}
 	}
+	for _, peers := range r.learned {
+		add(peers)
+	}
+	add(r.listed)
 	for _, e := range r.configured {
 		same := r.dialled[r.aliases[e.Address]]
-		if !known[e.Address] && (same == nil || same.linked == 0) {
-			list = append(list, e)
+		if same == nil || same.linked == 0 {
+			add([]msg.Peer{e})
 		}
 	}
 	return list
--- a/internal/agentd/roster_test.go
+++ b/internal/agentd/roster_test.go
@@ -5,61 +5,15 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/subset"
 )
 
-// entryList returns entries that are spread over the given number of failure
-// domains.
-func entryList(entries, domains int) []msg.Peer {
-	list := make([]msg.Peer, entries)
-	for i := range list {
-		list[i] = msg.Peer{Address: fmt.Sprintf("10.0.0.%d:7000", i+1), FailureDomain: fmt.Sprintf("domain-%d", i%domains)}
-	}
-	return list
-}
-
-// Guards against workers that all choose the same entries, and against a new
-// entry that moves most links.
-func TestPickedEntriesSpreadAndStay(t *testing.T) {
-	c := qt.New(t)
-	entries := entryList(12, 1)
-	load, moved := make(map[string]int), 0
-	for i := range 960 {
-		worker := fmt.Sprintf("worker-%d", i+1)
-		before := make(map[string]bool)
-		for _, a := range pickEntries(worker, entries[:11], 4) {
-			before[a.Address] = true
-		}
-		for _, a := range pickEntries(worker, entries, 4) {
-			load[a.Address]++
-			if !before[a.Address] {
-				moved++
-			}
-		}
-	}
-	for _, a := range entries {
-		// The mean is 960 x 4 / 12 = 320.
-		links := load[a.Address]
-		c.Check(links > 240 && links < 400, qt.IsTrue, qt.Commentf("%s has %d links", a.Address, links))
-	}
-	c.Check(moved, qt.Equals, load[entries[11].Address])
-}
-
-// Guards against the loss of one failure domain taking all links of a worker.
-func TestPickedEntriesUseManyFailureDomains(t *testing.T) {
-	for i := range 100 {
-		perDomain := make(map[string]int)
-		for _, e := range pickEntries(fmt.Sprintf("worker-%d", i), entryList(12, 6), 4) {
-			perDomain[e.FailureDomain]++
-		}
-		qt.Assert(t, perDomain, qt.HasLen, 4)
-	}
-	qt.Assert(t, pickEntries("w", append(entryList(5, 1), msg.Peer{Address: "a", FailureDomain: "other"}), 4), qt.HasLen, 4)
-}
-
 // rosterFixture records which addresses are dialled.
 type rosterFixture struct {
 	*roster
@@ -67,7 +21,7 @@
 }
 
 func newRosterFixture(t *testing.T, addresses []string, limit int) *rosterFixture {
-	f := &rosterFixture{roster: newRoster("w", addresses, limit), contexts: make(map[string]context.Context)}
+	f := &rosterFixture{roster: newRoster("w", "", addresses, limit), contexts: make(map[string]context.Context)}
 	f.start = func(ctx context.Context, address string) {
 		c := qt.New(t)
 		c.Check(f.contexts[address], qt.IsNil, qt.Commentf("a second linker of %s", address))
@@ -104,10 +58,10 @@
 	f := newRosterFixture(t, []string{"old-1"}, 4)
 	c.Assert(f.active(), qt.DeepEquals, []string{"old-1"})
 	f.up("old-1", 1)
-	f.learn([]msg.Peer{{Address: "new-1"}, {Address: "new-2"}})
+	f.learn("old-1", []msg.Peer{{Address: "new-1"}, {Address: "new-2"}})
 	c.Assert(f.active(), qt.DeepEquals, []string{"new-1", "new-2", "old-1"})
 	f.up("new-1", 2)
-	f.learn([]msg.Peer{{Address: "new-2"}})
+	f.learn("old-1", []msg.Peer{{Address: "new-2"}})
 	c.Assert(f.active(), qt.DeepEquals, []string{"new-1", "new-2", "old-1"}, qt.Commentf("a link that is up stays"))
 	f.down("new-1", 2)
 	c.Assert(f.active(), qt.DeepEquals, []string{"new-2", "old-1"})
@@ -119,7 +73,7 @@
 	c := qt.New(t)
 	f := newRosterFixture(t, []string{"10.0.0.1:7000"}, 4)
 	f.up("10.0.0.1:7000", 1)
-	f.learn([]msg.Peer{{Address: "192.168.0.1:7000"}})
+	f.learn("10.0.0.1:7000", []msg.Peer{{Address: "192.168.0.1:7000"}})
 	f.up("192.168.0.1:7000", 1)
 	f.down("10.0.0.1:7000", 1)
 	c.Assert(f.active(), qt.DeepEquals, []string{"192.168.0.1:7000"})
@@ -132,10 +86,10 @@
 	c := qt.New(t)
 	f := newRosterFixture(t, []string{"a"}, 4)
 	f.up("a", 1)
-	f.learn([]msg.Peer{{Address: "a"}, {Address: "b"}})
-	f.learn([]msg.Peer{{Address: "a"}})
+	f.learn("a", []msg.Peer{{Address: "a"}, {Address: "b"}})
+	f.learn("a", []msg.Peer{{Address: "a"}})
 	c.Assert(f.active(), qt.DeepEquals, []string{"a"})
-	f.learn([]msg.Peer{{Address: "a"}, {Address: "b"}})
+	f.learn("a", []msg.Peer{{Address: "a"}, {Address: "b"}})
 	c.Assert(f.active(), qt.DeepEquals, []string{"a"}, qt.Commentf("the first linker of b has not returned"))
 	f.end("b")
 	c.Assert(f.active(), qt.DeepEquals, []string{"a", "b"})
@@ -146,11 +100,93 @@
 func TestDirectoryLeadsToReplacedEntries(t *testing.T) {
 	c := qt.New(t)
 	dialled := make(map[string]bool)
-	r := newRoster("w", []string{"10.0.0.1:7000"}, 0)
+	r := newRoster("w", "", []string{"10.0.0.1:7000"}, 0)
 	r.start = func(_ context.Context, address string) { dialled[address] = true }
 	r.run(c.Context())
-	r.learn([]msg.Peer{{Address: "10.0.0.1:7000"}, {Address: "10.0.0.2:7000"}})
+	r.learn("10.0.0.1:7000", []msg.Peer{{Address: "10.0.0.1:7000"}, {Address: "10.0.0.2:7000"}})
 	r.discover([]msg.Peer{{Address: "10.0.0.9:7000"}})
 	c.Check(dialled, qt.DeepEquals, map[string]bool{"10.0.0.1:7000": true, "10.0.0.2:7000": true, "10.0.0.9:7000": true})
 	c.Check(r.linked(), qt.IsFalse)
 }
+
+// linkAll lets each linker that is at work link to its entry.
+func (f *rosterFixture) linkAll() {
+	for _, address := range f.active() {
+		f.up(address, incarnationOf(address))
+	}
+}
+
+func incarnationOf(address string) msg.Incarnation {
+	return msg.Incarnation(xxhash.Sum64String(address))
+}
+
+func addressed(n int) []msg.Peer {
+	peers := make([]msg.Peer, n)
+	for i := range peers {
+		peers[i].Address = fmt.Sprintf("10.0.0.%d:7000", i+1)
+	}
+	return peers
+}
+
+// Pattern: all agents of a fleet start with the same few addresses. Guards against
+// links to those that stay beside the chosen ones, and against their end before the
+// chosen ones are there.
+func TestLinksThatAreNotChosenEnd(t *testing.T) {
+	c := qt.New(t)
+	f := newRosterFixture(t, []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}, 3)
+	parted := make(map[msg.Incarnation]bool)
+	f.part = func(entry msg.Incarnation) { parted[entry] = true }
+	f.linkAll()
+	peers := addressed(20)
+	f.learn("10.0.0.1:7000", peers)
+	c.Assert(parted, qt.HasLen, 0, qt.Commentf("the chosen ones are not linked"))
+	f.linkAll()
+	f.learn("10.0.0.1:7000", peers)
+	wanted := subset.Choose("w", "", peers, 3)
+	for _, address := range f.active() {
+		chosen := slices.ContainsFunc(wanted, func(e msg.Peer) bool { return e.Address == address })
+		c.Check(parted[incarnationOf(address)], qt.Equals, !chosen, qt.Commentf("%s", address))
+	}
+	for _, e := range wanted {
+		c.Check(f.active(), qt.Contains, e.Address)
+	}
+}
+
+// Guards against an agent with too few links while chosen entries are down, and
+// against surplus links after they are back.
+func TestUnreachableEntryIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	f := newRosterFixture(t, nil, 4)
+	parted := make(map[msg.Incarnation]bool)
+	f.part = func(entry msg.Incarnation) { parted[entry] = true }
+	f.discover(addressed(12))
+	chosen := f.active()
+	c.Assert(chosen, qt.HasLen, 4)
+	for _, address := range chosen[1:] {
+		f.up(address, incarnationOf(address))
+	}
+	now := time.Now()
+	f.failed(now, chosen[0])
+	c.Assert(f.active(), qt.HasLen, 4)
+	f.failed(now.Add(replaceAfter), chosen[0])
+	c.Assert(f.active(), qt.HasLen, 5)
+	c.Check(f.active(), qt.Contains, chosen[0], qt.Commentf("it is dialled further"))
+	f.linkAll()
+	f.down("none", 0)
+	c.Check(parted, qt.HasLen, 1, qt.Commentf("the one in its place"))
+	for _, address := range chosen {
+		c.Check(parted[incarnationOf(address)], qt.IsFalse)
+	}
+}
+
+// Guards against lists that lack the entry which sent them: an agent that goes by
+// the newest one would change its links with each list.
+func TestListsOfLinkedEntriesAddUp(t *testing.T) {
+	c := qt.New(t)
+	f := newRosterFixture(t, []string{"10.0.0.1:7000"}, 0)
+	f.linkAll()
+	f.learn("10.0.0.1:7000", addressed(3)[1:])
+	f.linkAll()
+	f.learn("10.0.0.2:7000", addressed(3)[:1])
+	c.Assert(f.active(), qt.HasLen, 3)
+}
--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -65,7 +65,7 @@
 
 func entryConfig(s settings.Entry, incarnation msg.Incarnation) entry.Config {
 	return entry.Config{
-		Name: s.Name, Incarnation: incarnation, Seed: uint64(incarnation),
+		Name: s.Name, FailureDomain: s.FailureDomain, Incarnation: incarnation, Seed: uint64(incarnation),
 		StartWindow: s.Timing.StartWindow.Duration, SuspectAfter: s.Timing.SuspectAfter.Duration,
 		LostAfter: s.Timing.LostAfter.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
 		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration,
@@ -121,7 +121,7 @@
 
 func agentDaemon(s settings.Agent, core *agent.Core, zero epoch, server *httpserver.Server, t tlsconfig.Config, m *telemetry.Metrics, log *zap.Logger) *agentd.Daemon {
 	options := []agentd.Option{
-		agentd.WithLinks(s.Links), agentd.WithReadyDelay(s.ReadyDelay.Duration), agentd.WithMetrics(m), agentd.WithClientTLS(t.Client),
+		agentd.WithLinks(s.Links), agentd.WithFailureDomain(s.FailureDomain), agentd.WithReadyDelay(s.ReadyDelay.Duration), agentd.WithMetrics(m), agentd.WithClientTLS(t.Client),
 	}
 	if client := storeClient(s.Store); client != nil {
 		options = append(options, agentd.WithDirectory(agentd.StoreDirectory(client, entryd.EntriesPrefix)))
--- /dev/null
+++ b/internal/core/agent/part_test.go
@@ -0,0 +1,53 @@
+package agent_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/poplarlever/poplarlever/internal/core/agent"
+	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
+)
+
+// Guards against a link that ends while a task of its entry runs or a result waits
+// for its acknowledgement, and against one that never ends.
+func TestPartedLinkEndsWhenNothingNeedsIt(t *testing.T) {
+	f := newIdleFixture(t)
+	f.occupy(1, 3)
+	f.core.Drain()
+	f.step(agent.Part{Entry: entry})
+	f.c.Assert(sentTo[msg.Leaving](f, entry), qt.HasLen, 1)
+	for range 5 {
+		f.tick(time.Second)
+		f.receive(msg.EntryHeartbeat{})
+		f.step(agent.Received{Entry: other, Message: msg.EntryHeartbeat{}})
+	}
+	f.c.Assert(outputs[agent.CloseLink](f), qt.HasLen, 0, qt.Commentf("a task runs"))
+	f.end(attempt(entry, 1), msg.ResultOK)
+	f.tick(time.Second)
+	f.c.Assert(outputs[agent.CloseLink](f), qt.HasLen, 0, qt.Commentf("the result is not acknowledged"))
+	f.receive(msg.Ack{Attempts: []msg.AttemptID{attempt(entry, 1)}})
+	f.tick(100 * time.Millisecond)
+	f.c.Assert(outputs[agent.CloseLink](f), qt.DeepEquals, []agent.CloseLink{{Entry: entry}})
+}
+
+// Guards against a task that is taken over a link that is about to end, and against
+// a later link that stays closed to tasks.
+func TestPartedLinkTakesNoTask(t *testing.T) {
+	f := newIdleFixture(t)
+	f.step(agent.Part{Entry: entry})
+	f.core.Drain()
+	d := f.dispatchOf(attempt(entry, 1))
+	d.Size, d.TaskName = msg.Size{Cores: 3}, "task"
+	f.receive(d)
+	refused := sentTo[msg.Refused](f, entry)
+	f.c.Assert(refused, qt.HasLen, 1)
+	f.c.Assert(refused[0].Reason, qt.Equals, verdict.WorkerLeaving)
+	f.step(agent.LinkDown{Entry: entry})
+	f.step(agent.LinkUp{Entry: entry, Name: "e"})
+	f.core.Drain()
+	f.occupy(2, 3)
+	f.c.Assert(outputs[agent.Start](f), qt.HasLen, 1)
+}
--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -490,7 +490,6 @@
 	w := &leasedWorld{
 		c: c, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0),
 		answers: make(map[entry.Outcome]int), done: make(map[string]bool),
-		
 	}
 	if seed >= steadySeeds {
 		w.idleHeartbeat = 2 * time.Second
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -25,7 +25,9 @@
 type Config struct {
 	Name        string
 	Incarnation msg.Incarnation
-	Seed        uint64
+	// FailureDomain is that of the entry's VM.
+	FailureDomain string
+	Seed          uint64
 	// StartWindow is how long after its dispatch an attempt may start.
 	StartWindow time.Duration
 	// SuspectAfter is the silence after which a worker with outstanding attempts gets
@@ -74,7 +76,13 @@
 	cfg    Config
 	rng    *rand.Rand
 	policy Policy
-	peers  []msg.Peer
+	// self is this entry as agents reach it, peers are the others.
+	self  msg.Peer
+	peers []msg.Peer
+	// peersTold is when the agents were last told of a change of peers; peersNew is
+	// set while they know an older list.
+	peersTold time.Time
+	peersNew  bool
 	// now never goes back, even when a tick was delivered late.
 	now      time.Time
 	lastTick time.Time
@@ -158,7 +166,7 @@
 		c.allotted = in.Allotted
 		c.allot()
 	case SetPeers:
-		c.setPeers(now, in.Peers)
+		c.setPeers(in)
 	case BeginDrain:
 		c.draining = true
 	case StopNow:
@@ -174,6 +182,7 @@
 	c.forgivePause(now)
 	c.use.Expire(now)
 	c.fireTimers(now)
+	c.tellPeers(now)
 	c.watchWorkers(now)
 	c.watchPace(now)
 	c.dispatchQueued(now)
@@ -207,14 +216,26 @@
 	}
 }
 
-// setPeers takes over the list of entries and tells the agents, which choose
-// their links from it.
-func (c *Core) setPeers(now time.Time, peers []msg.Peer) {
-	if slices.Equal(peers, c.peers) {
+// peersPause is the shortest time between two lists of entries for the agents. While
+// a fleet starts, each entry learns of the others one after the other.
+const peersPause = time.Second
+
+// setPeers takes over the list of entries.
+func (c *Core) setPeers(in SetPeers) {
+	if in.Self == c.self && slices.Equal(in.Peers, c.peers) {
 		return
 	}
-	c.peers = peers
+	c.self, c.peers, c.peersNew = in.Self, in.Peers, true
 	c.allot()
+}
+
+// tellPeers tells the agents, which choose their links from it, of a new list of
+// entries.
+func (c *Core) tellPeers(now time.Time) {
+	if !c.peersNew || now.Sub(c.peersTold) < peersPause {
+		return
+	}
+	c.peersNew, c.peersTold = false, now
 	for _, w := range c.workers.list {
 		if w.linked() {
 			c.sendTo(now, w, c.welcome())
@@ -223,8 +244,12 @@
 }
 
 func (c *Core) welcome() msg.Welcome {
+	peers := c.peers
+	if c.self.Address != "" {
+		peers = append(slices.Clone(peers), c.self)
+	}
 	return msg.Welcome{
-		Entry: c.cfg.Name, Incarnation: c.cfg.Incarnation, Peers: c.peers, Revision: c.policy.Revision,
+		Entry: c.cfg.Name, Incarnation: c.cfg.Incarnation, Peers: peers, Revision: c.policy.Revision,
 	}
 }
 
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -46,8 +46,11 @@
 // each limit is split evenly over the entries that SetPeers has named.
 type SetAllotments struct{ Allotted map[string]int }
 
-// SetPeers replaces the known entries.
-type SetPeers struct{ Peers []msg.Peer }
+// SetPeers replaces the known entries. Self is this one, as agents reach it.
+type SetPeers struct {
+	Self  msg.Peer
+	Peers []msg.Peer
+}
 
 // BeginDrain makes the core refuse new jobs.
 type BeginDrain struct{}
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -66,6 +66,10 @@
 const (
 	// affinityScore outweighs any difference in room.
 	affinityScore = 2
+	// remotePenalty is the part of a worker's cores that has to be free beyond that of
+	// one in the entry's own failure domain, since the way there takes longer and the
+	// platform charges for it.
+	remotePenalty = 0.25
 	// failedHerePenalty outweighs affinity: the same worker may fail the task again.
 	failedHerePenalty = 4
 )
@@ -74,6 +78,9 @@
 // cores free.
 func (w *worker) score(j *job, task int, step Step) float64 {
 	score := -w.paceCost()
+	if w.remote {
+		score -= remotePenalty
+	}
 	if w.hello.Size.Cores > 0 {
 		score += w.room.Cores / w.hello.Size.Cores
 	}
--- a/internal/core/entry/share_test.go
+++ b/internal/core/entry/share_test.go
@@ -1,6 +1,8 @@
 package entry_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,9 +52,30 @@
 	f.out = nil
 	list := []msg.Peer{{Name: "e", Address: "10.0.0.1:7000"}, {Name: "z", Address: "10.0.0.2:7000"}}
 	f.step(entry.SetPeers{Peers: list})
+	f.pass(tick)
 	welcomes := take[msg.Welcome](f)
 	f.c.Assert(welcomes, qt.HasLen, 1)
 	f.c.Assert(welcomes[0].Peers, qt.DeepEquals, list)
 	f.step(entry.SetPeers{Peers: list})
+	f.passHeard(2 * time.Second)
 	f.c.Assert(take[msg.Welcome](f), qt.HasLen, 0, qt.Commentf("the same list"))
 }
+
+// Pattern: dozens of entries start within a second, and each learns of the others
+// one after the other. Guards against a list for every agent at each of these
+// changes, and against an agent that misses the last one or the entry itself.
+func TestListsOfEntriesAreGathered(t *testing.T) {
+	f := newFixture(t, 1)
+	f.out = nil
+	self := msg.Peer{Name: "e", Address: "10.0.0.1:7000", FailureDomain: "d"}
+	var peers []msg.Peer
+	for i := range 35 {
+		peers = append(peers, msg.Peer{Name: fmt.Sprint("p", i), Address: fmt.Sprintf("10.0.1.%d:7000", i)})
+		f.step(entry.SetPeers{Self: self, Peers: slices.Clone(peers)})
+		f.pass(tick)
+	}
+	f.passHeard(2 * time.Second)
+	welcomes := take[msg.Welcome](f)
+	f.c.Assert(len(welcomes) <= 3, qt.IsTrue, qt.Commentf("%d lists", len(welcomes)))
+	f.c.Assert(welcomes[len(welcomes)-1].Peers, qt.DeepEquals, append(peers, self))
+}
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -30,6 +30,8 @@
 	name        string
 	hello       msg.Hello
 	incarnation msg.Incarnation
+	// remote tells whether the worker is in another failure domain.
+	remote bool
 	// retired holds the agent incarnations that later ones replaced.
 	retired []msg.Incarnation
 	link    LinkID
@@ -316,6 +318,7 @@
 		return
 	}
 	w.hello, w.incarnation, w.revision = h, h.Incarnation, max(w.revision, h.Revision)
+	w.remote = c.cfg.FailureDomain != "" && h.FailureDomain != "" && h.FailureDomain != c.cfg.FailureDomain
 	w.report(h.Report)
 	w.state = workerUp
 	if h.Leaving {
--- a/internal/entryd/join.go
+++ b/internal/entryd/join.go
@@ -16,9 +16,10 @@
 		d.SetPolicy(policy)
 		d.setReady(true)
 	}
+	self := msg.Peer{Name: p.cfg.Self.Name, Address: p.cfg.Self.Address, FailureDomain: p.cfg.Self.FailureDomain}
 	p.setPeers = func(peers []msg.Peer) {
 		d.peers.set(peers)
-		d.loop.step(entry.SetPeers{Peers: peers})
+		d.loop.step(entry.SetPeers{Self: self, Peers: peers})
 	}
 	d.server.Handle(poplarleverv1connect.NewPeerHandler(p))
 }
