Tell eight entries of a new revision, not all

Cause: after each change every entry asked every other one that had not shown the revision yet: up to 35 x 34 exchanges within 200 ms, three times a second in a storm of configurations, while nearly all learn it from their watch.

Change: each entry tells eight, drawn at random; those pass it on.

Ruled out: four, which misses one of 35 entries in half of the changes.

--- a/internal/entryd/exchange.go
+++ b/internal/entryd/exchange.go
@@ -26,6 +26,10 @@
 	// pushDelay spreads the messages about a new revision; most entries learn it
 	// from their own watch within this time.
 	pushDelay = 200 * time.Millisecond
+	// pushFanout is the number of entries that each entry tells of a new revision.
+	// They pass it on, so that with a few dozen entries one in ten thousand is missed
+	// by all and learns it from an exchange.
+	pushFanout = 8
 )
 
 // exchangeFunc asks the entry at an address.
@@ -69,7 +73,7 @@
 	}
 }
 
-// pushLoop tells the entries that have not shown a new revision about it.
+// pushLoop tells a few of the entries that have not shown a new revision about it.
 func (p *Platform) pushLoop(ctx context.Context) {
 	for {
 		select {
@@ -80,7 +84,7 @@
 		if !clock.Sleep(ctx, rand.N(pushDelay)) {
 			return
 		}
-		p.exchangeEach(ctx, p.behind(), false)
+		p.exchangeEach(ctx, sample(p.behind(), pushFanout), false)
 	}
 }
 
@@ -93,6 +97,12 @@
 	return slices.DeleteFunc(addresses, func(a string) bool { return p.revisions[a] >= revision })
 }
 
+// sample returns n of the addresses, drawn at random, or all when there are fewer.
+func sample(addresses []string, n int) []string {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(n, len(addresses))]
+}
+
 // addresses returns every address that an entry may answer at.
 func (p *Platform) addresses() []string {
 	p.mu.Lock()
--- a/internal/entryd/platform_test.go
+++ b/internal/entryd/platform_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,8 @@
 	// split makes entries unable to reach each other.
 	split   bool
 	entries map[string]*testEntry
+	// exchanges counts the requests between entries.
+	exchanges atomic.Int64
 }
 
 // reach returns the entry at the address, or nil.
@@ -104,6 +107,7 @@
 		if peer == nil {
 			return nil, errorx.ExternalError.New("no such entry")
 		}
+		c.exchanges.Add(1)
 		return peer.answer(req), nil
 	}
 	c.set(address, e)
@@ -409,3 +413,28 @@
 	defer e.Platform.mu.Unlock()
 	return e.duplicates
 }
+
+// Pattern: one of dozens of entries learns of a revision while the others do not
+// reach the store. Guards against a message from each entry to each other one, and
+// against an entry that is passed over.
+func TestNewRevisionSpreadsByFewMessages(t *testing.T) {
+	const cutOffs = 34
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		all := c.startAll(1)
+		for i := range cutOffs {
+			all = append(all, c.startWith(nil, fmt.Sprintf("cut-off-%d", i), 1, "entry-0.1"))
+		}
+		time.Sleep(10 * time.Second)
+		for i := range 5 {
+			c.exchanges.Store(0)
+			want := c.put(i + 1)
+			time.Sleep(time.Second)
+			// Each entry tells pushFanout others, which may ask for the table.
+			most := int64(2 * pushFanout * len(all))
+			qt.Check(t, c.exchanges.Load() < most, qt.IsTrue, qt.Commentf("%d exchanges", c.exchanges.Load()))
+			time.Sleep(inForceLimit - time.Second)
+			c.expectRevision(want, all...)
+		}
+	})
+}
