Start in order: first links, few questions, callers wait for the table

Change: with the store's answer an entry asks three others and tells none; a caller waits up to 500 ms from the start for the first configuration; an agent dials four links at once, near ones first, and the others 0.3 to 1.2 s later. Choose returns the links in that order.

Ruled out: no question to other entries at all, which lets old data of the store come into force first (TestOldDataNeverReverts).

--- a/internal/agentd/cancel_test.go
+++ b/internal/agentd/cancel_test.go
@@ -79,7 +79,7 @@
 	c := qt.New(t)
 	r := newRoster("w", "", nil, 0)
 	dialled := make(chan string, 8)
-	r.start = func(_ context.Context, address string) { dialled <- address }
+	r.start = func(_ context.Context, address string, _ bool) { dialled <- address }
 	r.run(c.Context())
 	first := []msg.Peer{{Address: "10.0.0.1:7000"}}
 	startLink(c, &stubEntry{lists: [][]msg.Peer{first, append(first, msg.Peer{Address: "10.0.0.2:7000"})}}, r)
--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -116,11 +116,11 @@
 
 // dial keeps a link to each chosen entry.
 func (d *Daemon) dial(ctx context.Context) {
-	d.roster.start = func(ctx context.Context, address string) {
+	d.roster.start = func(ctx context.Context, address string, first bool) {
 		k := &linker{
 			loop: d.loop, log: d.log, tls: d.opts.clientTLS, address: address, identity: d.identity, counter: d.counter,
 			url: d.opts.scheme() + "://" + address, clock: func() time.Duration { return clock.Now().Sub(d.epoch) },
-			roster: d.roster,
+			roster: d.roster, first: first,
 		}
 		go func() {
 			k.run(ctx)
--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -22,9 +22,13 @@
 )
 
 const (
-	// redialMin and redialMax bound the jittered pause before dialling again.
+	// redialMin and redialMax bound the jittered pause before dialling again, for the
+	// links that are needed first.
 	redialMin = 50 * time.Millisecond
 	redialMax = 250 * time.Millisecond
+	// laterMin and laterMax bound the pause before each dial of the other links.
+	laterMin = 300 * time.Millisecond
+	laterMax = 1200 * time.Millisecond
 )
 
 // outgoing is the outbox of one link, which also counts what it is given.
@@ -59,6 +63,8 @@
 	identity *identityCheck
 	clock    func() time.Duration
 	roster   *roster
+	// first is set for a link that is needed first.
+	first bool
 	// counter is nil unless messages are counted.
 	counter *linkpb.Counter
 }
@@ -67,7 +73,10 @@
 
 // run dials until ctx ends.
 func (k *linker) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	if !k.first && !pause(ctx, laterMin, laterMax) {
+		return
+	}
+	for {
 		linked, err := k.link(ctx)
 		if !linked {
 			k.roster.failed(time.Now(), k.address)
@@ -75,11 +84,24 @@
 		if err != nil && ctx.Err() == nil {
 			logevent.EntryUnlinked.Log(k.log, zap.String("address", k.address), zap.Error(err))
 		}
-		pause := redialMin + rand.N(redialMax-redialMin)
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		low, high := laterMin, laterMax
+		if k.first {
+			low, high = redialMin, redialMax
 		}
+		if !pause(ctx, low, high) {
+			return
+		}
+	}
+}
+
+// pause waits for a random time between low and high. It returns false when ctx
+// ended.
+func pause(ctx context.Context, low, high time.Duration) bool {
+	select {
+	case <-time.After(low + rand.N(high-low)):
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/internal/agentd/roster.go
+++ b/internal/agentd/roster.go
@@ -10,6 +10,11 @@
 	"github.com/poplarlever/poplarlever/internal/core/subset"
 )
 
+// firstLinks is the number of links that an agent dials without a pause. When all
+// processes start at once, these give each entry room for its first tasks, and the
+// others do not hold them up.
+const firstLinks = 4
+
 // replaceAfter is how long the dials of a chosen entry fail until another one is
 // chosen beside it: longer than an entry that is restarted takes to be back.
 const replaceAfter = 2 * time.Second
@@ -22,8 +27,9 @@
 	limit          int
 	configured     []msg.Peer
 	// start begins to keep a link to the address until the context ends, and calls
-	// ended after that. It does not block.
-	start func(ctx context.Context, address string)
+	// ended after that. A link that is not needed first may wait for others. It does
+	// not block.
+	start func(ctx context.Context, address string, first bool)
 	// part ends the link to an entry once its tasks here have ended.
 	part func(entry msg.Incarnation)
 
@@ -207,20 +213,15 @@
 	reachable := slices.DeleteFunc(slices.Clone(candidates), func(e msg.Peer) bool { return r.unreachable(now, e.Address) })
 	wanted := make(map[string]bool)
 	complete := len(reachable) > 0
-	for _, e := range subset.Choose(r.worker, r.domain, reachable, r.limit) {
+	for i, e := range subset.Choose(r.worker, r.domain, reachable, r.limit) {
 		wanted[e.Address] = true
+		r.dial(e.Address, i < firstLinks)
 		d := r.dialled[e.Address]
-		complete = complete && d != nil && d.linked != 0 && !d.parting
+		complete = complete && d.linked != 0 && !d.parting
 	}
 	for _, e := range subset.Choose(r.worker, r.domain, candidates, r.limit) {
 		wanted[e.Address] = true
-	}
-	for address := range wanted {
-		if r.dialled[address] == nil {
-			ctx, cancel := context.WithCancel(r.ctx)
-			r.dialled[address] = &dialled{cancel: cancel}
-			r.start(ctx, address)
-		}
+		r.dial(e.Address, false)
 	}
 	for address, d := range r.dialled {
 		switch {
@@ -234,6 +235,15 @@
 	}
 }
 
+// dial starts a linker of the address unless there is one.
+func (r *roster) dial(address string, first bool) {
+	if r.dialled[address] == nil {
+		ctx, cancel := context.WithCancel(r.ctx)
+		r.dialled[address] = &dialled{cancel: cancel}
+		r.start(ctx, address, first)
+	}
+}
+
 // candidates returns the entries to choose from: those that linked entries name,
 // those in the store and the addresses of the settings, but for addresses that
 // turned out to be another one of a linked entry. Addresses of the settings are never
--- a/internal/agentd/roster_test.go
+++ b/internal/agentd/roster_test.go
@@ -18,14 +18,19 @@
 type rosterFixture struct {
 	*roster
 	contexts map[string]context.Context
+	// first counts the linkers that were to dial without a pause.
+	first int
 }
 
 func newRosterFixture(t *testing.T, addresses []string, limit int) *rosterFixture {
 	f := &rosterFixture{roster: newRoster("w", "", addresses, limit), contexts: make(map[string]context.Context)}
-	f.start = func(ctx context.Context, address string) {
+	f.start = func(ctx context.Context, address string, first bool) {
 		c := qt.New(t)
 		c.Check(f.contexts[address], qt.IsNil, qt.Commentf("a second linker of %s", address))
 		f.contexts[address] = ctx
+		if first {
+			f.first++
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -101,7 +106,7 @@
 	c := qt.New(t)
 	dialled := make(map[string]bool)
 	r := newRoster("w", "", []string{"10.0.0.1:7000"}, 0)
-	r.start = func(_ context.Context, address string) { dialled[address] = true }
+	r.start = func(_ context.Context, address string, _ bool) { dialled[address] = true }
 	r.run(c.Context())
 	r.learn("10.0.0.1:7000", []msg.Peer{{Address: "10.0.0.1:7000"}, {Address: "10.0.0.2:7000"}})
 	r.discover([]msg.Peer{{Address: "10.0.0.9:7000"}})
@@ -190,3 +195,12 @@
 	f.learn("10.0.0.2:7000", addressed(3)[:1])
 	c.Assert(f.active(), qt.HasLen, 3)
 }
+
+// Pattern: all agents and entries start within the same second. Guards against an
+// agent that dials all its entries at once, and against one that dials none.
+func TestFewLinksAreDialledAtOnce(t *testing.T) {
+	f := newRosterFixture(t, nil, 12)
+	f.discover(addressed(35))
+	qt.Check(t, f.active(), qt.HasLen, 12)
+	qt.Check(t, f.first, qt.Equals, firstLinks)
+}
--- a/internal/core/subset/subset.go
+++ b/internal/core/subset/subset.go
@@ -26,12 +26,12 @@
 	localDenominator = 3
 )
 
-// Choose returns the entries that the worker's agent links to: all of them when
-// there are at most limit, or when limit is zero or less. The order of the list
-// does not matter.
+// Choose returns the entries that the worker's agent links to, those first whose
+// links are needed first: all of them when there are at most limit, or when limit is
+// zero or less. The order of the list does not matter.
 func Choose(worker, domain string, entries []msg.Peer, limit int) []msg.Peer {
-	if limit <= 0 || len(entries) <= limit {
-		return entries
+	if limit <= 0 {
+		limit = len(entries)
 	}
 	local, remote := split(rank(worker, entries), domain)
 	quota := (limit*localNumerator + localDenominator - 1) / localDenominator
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -36,6 +36,9 @@
 	jobs      *runner
 	// policy is what routes of adapters are taken from.
 	policy atomic.Pointer[entry.Policy]
+	// policyKnown is closed once a policy is in force.
+	policyKnown chan struct{}
+	policyOnce  sync.Once
 	// attached are the servers of adapters.
 	attached []*httpserver.Server
 
@@ -51,7 +54,7 @@
 // by the token hashes of the policy, and refuses everyone before the first one.
 func New(core *entry.Core, name string, server *httpserver.Server, log *zap.Logger, opts ...Option) *Daemon {
 	o := gather(server.Address(), opts)
-	d := &Daemon{loop: newLoop(core), server: server, log: log, name: name, opts: o, begun: time.Now(), peers: &livePeers{}, hurry: make(chan struct{})}
+	d := &Daemon{loop: newLoop(core), server: server, log: log, name: name, opts: o, begun: time.Now(), peers: &livePeers{}, hurry: make(chan struct{}), policyKnown: make(chan struct{})}
 	if o.authenticator == nil {
 		o.authenticator = &d.tokens
 	}
@@ -84,6 +87,7 @@
 	d.tokens.setPolicy(p)
 	d.policy.Store(&p)
 	d.loop.step(entry.SetPolicy{Policy: p})
+	d.policyOnce.Do(func() { close(d.policyKnown) })
 }
 
 // Counts returns the counters of refusals and failures.
--- a/internal/entryd/frontdoor.go
+++ b/internal/entryd/frontdoor.go
@@ -23,9 +23,15 @@
 // when its requests have their answers. Call it before Run.
 func (d *Daemon) Attach(s *httpserver.Server) { d.attached = append(d.attached, s) }
 
+// firstPolicyWait bounds the wait for the first policy after the start. The store
+// answers within milliseconds; callers that are refused meanwhile would come back
+// only after a second.
+const firstPolicyWait = 500 * time.Millisecond
+
 // Route returns the job type that a request belongs to. The second result is
-// false while no policy is known.
-func (f *FrontDoor) Route(host, path string) (route entry.Route, known, found bool) {
+// false while no policy is known. Soon after the start it waits for the first one.
+func (f *FrontDoor) Route(ctx context.Context, host, path string) (route entry.Route, known, found bool) {
+	f.awaitPolicy(ctx)
 	p := f.daemon.policy.Load()
 	if p == nil {
 		return entry.Route{}, false, false
@@ -34,6 +40,20 @@
 	return route, true, found
 }
 
+func (f *FrontDoor) awaitPolicy(ctx context.Context) {
+	rest := firstPolicyWait - time.Since(f.daemon.begun)
+	if f.daemon.policy.Load() != nil || rest <= 0 {
+		return
+	}
+	timer := time.NewTimer(rest)
+	defer timer.Stop()
+	select {
+	case <-f.daemon.policyKnown:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Submit runs a job and returns its answer. A job whose name is that of a job in
 // progress waits for the end of that one, and takes over its answer when that is
 // complete. When ctx ends, what has not ended is stopped.
--- a/internal/entryd/platform.go
+++ b/internal/entryd/platform.go
@@ -150,25 +150,29 @@
 	group.Wait()
 }
 
-// peerPatience is several round trips to a live entry.
-const peerPatience = 60 * time.Millisecond
-
-// bootstrapLimit bounds each of the two questions at start.
-const bootstrapLimit = time.Second
+const (
+	// bootstrapLimit bounds each of the two questions at start.
+	bootstrapLimit = time.Second
+	// peerPatience is several round trips to a live entry.
+	peerPatience = 60 * time.Millisecond
+	// bootstrapPeers is the number of entries that are asked beside the store. When all
+	// entries start at once, each asking all others would hold up their callers.
+	bootstrapPeers = 3
+)
 
-// bootstrap asks the store and then every known entry, and puts the newest
-// revision among their answers in force. Once the store has answered, entries
-// that are down are not waited for.
+// bootstrap asks the store and then known entries, and puts the newest revision
+// among their answers in force. Once the store has answered, a few entries are asked
+// and those that are down are not waited for.
 func (p *Platform) bootstrap(ctx context.Context) {
 	// The store names the entries to ask, so it comes first.
-	wait := time.Duration(math.MaxInt64)
+	wait, peers := time.Duration(math.MaxInt64), math.MaxInt
 	if p.loadFirst(ctx) {
-		wait = peerPatience
+		wait, peers = peerPatience, bootstrapPeers
 	}
 	asked := make(chan struct{})
 	go func() {
 		defer close(asked)
-		p.exchangeAll(ctx)
+		p.exchangeEach(ctx, sample(p.addresses(), peers), true)
 	}()
 	select {
 	case <-asked:
@@ -178,6 +182,12 @@
 	if p.Revision() == 0 {
 		logevent.RevisionUnknown.Log(p.cfg.Log)
 	}
+	// The others hardly lack what was known before this process, and learn it by their
+	// exchanges: a push from each of many that start at once would hold up callers.
+	select {
+	case <-p.changed:
+	default:
+	}
 }
 
 // loadFirst reads the store once and tells whether it has a revision.
--- a/internal/entryd/platform_test.go
+++ b/internal/entryd/platform_test.go
@@ -103,11 +103,11 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
+		c.exchanges.Add(1)
 		peer := c.reach(to)
 		if peer == nil {
 			return nil, errorx.ExternalError.New("no such entry")
 		}
-		c.exchanges.Add(1)
 		return peer.answer(req), nil
 	}
 	c.set(address, e)
@@ -438,3 +438,30 @@
 		}
 	})
 }
+
+// Pattern: all entries start at once, after a loss of power. Guards against
+// exchanges between all pairs of them while callers wait for the first revision.
+func TestStartOfAllEntriesTakesFewMessages(t *testing.T) {
+	const entries = 35
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		want := c.put(1)
+		c.startAll(entries)
+		time.Sleep(5 * time.Second)
+		for i := range entries {
+			c.set(fmt.Sprintf("entry-%d.1", i), nil)
+		}
+		c.exchanges.Store(0)
+		var again []*testEntry
+		for i := range entries {
+			again = append(again, c.start(fmt.Sprintf("entry-%d", i), 2))
+		}
+		time.Sleep(100 * time.Millisecond)
+		c.expectRevision(want, again...)
+		started := c.exchanges.Load()
+		// Each asks bootstrapPeers and then one more, and those that turn out to be
+		// behind are sent the table.
+		most := int64(2 * (bootstrapPeers + 1) * entries)
+		qt.Check(t, started <= most, qt.IsTrue, qt.Commentf("%d exchanges", started))
+	})
+}
