Let acknowledgements on idle links wait for the heartbeat

Cause: since links without tasks have a heartbeat every 2 s, each result on such a link was followed by an acknowledgement of its own after 200 ms; at 2.8 tasks a second and link that is one message more for most tasks.

Change: while no attempt is outstanding, acknowledgements wait for idle_heartbeat; an agent that leaves, a draining entry and the bounds on what an agent keeps send them sooner, as before.

--- a/internal/core/entry/acks.go
+++ b/internal/core/entry/acks.go
@@ -46,6 +46,10 @@
 		return
 	}
 	wait := c.cfg.HeartbeatInterval
+	if !w.busy() {
+		// The agent only keeps the results longer.
+		wait = c.cfg.IdleHeartbeat
+	}
 	if w.state == workerLeaving || c.draining {
 		wait = c.cfg.AckDelay
 	}
--- a/internal/core/entry/heartbeat_test.go
+++ b/internal/core/entry/heartbeat_test.go
@@ -122,3 +122,25 @@
 	f.pass(300 * time.Millisecond)
 	f.c.Check(claims(), qt.DeepEquals, []msg.Claim{{}})
 }
+
+// Pattern: an entry has a task at each of many workers every now and then. Guards
+// against an acknowledgement by itself for each of them.
+func TestResultsOnIdleLinksAreAcknowledgedTogether(t *testing.T) {
+	f := idleFixture(t)
+	w := f.leased("w1", 32)
+	for range 4 {
+		f.submitSized("urgent", 3, 1)
+		d := f.dispatched()[w.link]
+		f.c.Assert(d, qt.HasLen, 1)
+		f.pass(60 * time.Millisecond)
+		w.clock += 60 * time.Millisecond
+		w.end(d[0], msg.ResultOK)
+		f.pass(400 * time.Millisecond)
+		w.clock += 400 * time.Millisecond
+		for _, o := range f.out {
+			s, _ := o.(entry.Send)
+			_, ack := s.Message.(msg.Ack)
+			f.c.Check(ack, qt.IsFalse)
+		}
+	}
+}
