Do not take a predecessor at the same address for a live process

The store had been away when its predecessor stopped and once more later; leases stand still meanwhile, so the dead process stayed listed for more than the 15 s after which a listing counts as a sign of life.

Change: a process at the own address has ended, since this one listens there; names used at one address only are no duplicates.

TestPredecessorAtTheSameAddressIsNoElder fails without the change.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -159,22 +159,31 @@
 	return slices.Sorted(maps.Keys(addresses))
 }
 
-// Duplicates returns the names that two live processes use, in order. A
-// predecessor whose lease has not lapsed yet does not count.
+// Duplicates returns the names that two live processes use, in order. Processes at
+// one address follow each other. A predecessor whose lease has not lapsed yet does
+// not count.
 func (l *List) Duplicates(now time.Time) []string {
-	live := map[string]int{l.self.Name: 1}
+	live := map[string]map[string]bool{l.self.Name: {l.self.Address: true}}
 	for _, r := range l.records {
-		if l.live(now, r) {
-			live[r.member.Name]++
+		if !l.live(now, r) {
+			continue
+		}
+		if live[r.member.Name] == nil {
+			live[r.member.Name] = make(map[string]bool)
 		}
+		live[r.member.Name][r.member.Address] = true
 	}
-	maps.DeleteFunc(live, func(_ string, n int) bool { return n < 2 })
+	maps.DeleteFunc(live, func(_ string, addresses map[string]bool) bool { return len(addresses) < 2 })
 	return slices.Sorted(maps.Keys(live))
 }
 
 // live tells whether there is evidence of the process that a dead one could
-// not have left behind.
+// not have left behind. One at this process's address has ended, however long the
+// store lists it: leases stand still while the store is away.
 func (l *List) live(now time.Time, r *record) bool {
+	if r.member.Address == l.self.Address {
+		return false
+	}
 	old := now.Sub(r.since) >= duplicateAfter && !r.since.IsZero()
 	listed := r.listed && now.Sub(l.listedAt) < LeaseTTL && l.listedAt.Sub(r.since) >= duplicateAfter
 	return old && (listed || now.Sub(r.contact) < LeaseTTL)
