--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -127,7 +127,7 @@
 			d.roster.ended(address)
 		}()
 	}
-	d.roster.part = func(entry msg.Incarnation) { d.loop.step(agent.Part{Entry: entry}) }
+	d.roster.drain = func(entry msg.Incarnation) { d.loop.step(agent.DrainLink{Entry: entry}) }
 	d.roster.run(ctx)
 }
 
--- a/internal/agentd/roster.go
+++ b/internal/agentd/roster.go
@@ -30,8 +30,8 @@
 	// ended after that. A link that is not needed first may wait for others. It does
 	// not block.
 	start func(ctx context.Context, address string, first bool)
-	// part ends the link to an entry once its tasks here have ended.
-	part func(entry msg.Incarnation)
+	// drain ends the link to an entry once its tasks here have ended.
+	drain func(entry msg.Incarnation)
 
 	mu  sync.Mutex
 	ctx context.Context
@@ -55,8 +55,8 @@
 	// ending is set when the linker was told to stop and has not returned. Two
 	// linkers of one entry at once could end each other's link.
 	ending bool
-	// parting is set when the present link was told to end.
-	parting bool
+	// draining is set when the present link was told to end.
+	draining bool
 }
 
 func (d *dialled) stop() {
@@ -66,7 +66,7 @@
 
 func newRoster(worker, domain string, addresses []string, limit int) *roster {
 	return &roster{
-		worker: worker, domain: domain, limit: limit, configured: peersAt(addresses), part: func(msg.Incarnation) {},
+		worker: worker, domain: domain, limit: limit, configured: peersAt(addresses), drain: func(msg.Incarnation) {},
 		learned: make(map[string][]msg.Peer), dialled: make(map[string]*dialled), aliases: make(map[string]string),
 	}
 }
@@ -156,7 +156,7 @@
 		}
 	}
 	if d := r.dialled[address]; d != nil {
-		d.linked, d.parting, d.failing = entry, false, time.Time{}
+		d.linked, d.draining, d.failing = entry, false, time.Time{}
 	}
 }
 
@@ -217,7 +217,7 @@
 		wanted[e.Address] = true
 		r.dial(e.Address, i < firstLinks)
 		d := r.dialled[e.Address]
-		complete = complete && d.linked != 0 && !d.parting
+		complete = complete && d.linked != 0 && !d.draining
 	}
 	for _, e := range subset.Choose(r.worker, r.domain, candidates, r.limit) {
 		wanted[e.Address] = true
@@ -228,9 +228,9 @@
 		case wanted[address]:
 		case d.linked == 0 && !d.ending:
 			d.stop()
-		case d.linked != 0 && !d.parting && complete && r.limit > 0:
-			d.parting = true
-			r.part(d.linked)
+		case d.linked != 0 && !d.draining && complete && r.limit > 0:
+			d.draining = true
+			r.drain(d.linked)
 		}
 	}
 }
--- a/internal/agentd/roster_test.go
+++ b/internal/agentd/roster_test.go
@@ -139,18 +139,18 @@
 func TestLinksThatAreNotChosenEnd(t *testing.T) {
 	c := qt.New(t)
 	f := newRosterFixture(t, []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"}, 3)
-	parted := make(map[msg.Incarnation]bool)
-	f.part = func(entry msg.Incarnation) { parted[entry] = true }
+	drained := make(map[msg.Incarnation]bool)
+	f.drain = func(entry msg.Incarnation) { drained[entry] = true }
 	f.linkAll()
 	peers := addressed(20)
 	f.learn("10.0.0.1:7000", peers)
-	c.Assert(parted, qt.HasLen, 0, qt.Commentf("the chosen ones are not linked"))
+	c.Assert(drained, qt.HasLen, 0, qt.Commentf("the chosen ones are not linked"))
 	f.linkAll()
 	f.learn("10.0.0.1:7000", peers)
 	wanted := subset.Choose("w", "", peers, 3)
 	for _, address := range f.active() {
 		chosen := slices.ContainsFunc(wanted, func(e msg.Peer) bool { return e.Address == address })
-		c.Check(parted[incarnationOf(address)], qt.Equals, !chosen, qt.Commentf("%s", address))
+		c.Check(drained[incarnationOf(address)], qt.Equals, !chosen, qt.Commentf("%s", address))
 	}
 	for _, e := range wanted {
 		c.Check(f.active(), qt.Contains, e.Address)
@@ -162,8 +162,8 @@
 func TestUnreachableEntryIsReplaced(t *testing.T) {
 	c := qt.New(t)
 	f := newRosterFixture(t, nil, 4)
-	parted := make(map[msg.Incarnation]bool)
-	f.part = func(entry msg.Incarnation) { parted[entry] = true }
+	drained := make(map[msg.Incarnation]bool)
+	f.drain = func(entry msg.Incarnation) { drained[entry] = true }
 	f.discover(addressed(12))
 	chosen := f.active()
 	c.Assert(chosen, qt.HasLen, 4)
@@ -178,9 +178,9 @@
 	c.Check(f.active(), qt.Contains, chosen[0], qt.Commentf("it is dialled further"))
 	f.linkAll()
 	f.down("none", 0)
-	c.Check(parted, qt.HasLen, 1, qt.Commentf("the one in its place"))
+	c.Check(drained, qt.HasLen, 1, qt.Commentf("the one in its place"))
 	for _, address := range chosen {
-		c.Check(parted[incarnationOf(address)], qt.IsFalse)
+		c.Check(drained[incarnationOf(address)], qt.IsFalse)
 	}
 }
 
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -150,8 +150,8 @@
 		c.linkUp(now, in)
 	case LinkDown:
 		c.entries.unlink(in.Entry)
-	case Part:
-		c.part(now, in.Entry)
+	case DrainLink:
+		c.drainLink(now, in.Entry)
 	case Received:
 		c.receive(now, in)
 	case EndpointAnnounced:
@@ -179,7 +179,7 @@
 	c.expire(now)
 	c.closeSilent(now)
 	c.stopOrphans(now)
-	c.closeParted(now)
+	c.closeDrained(now)
 	for _, e := range c.entries.linked {
 		if c.heartbeatDue(now, e) || c.roomNews(now, e) {
 			c.send(now, e, msg.Heartbeat{Report: c.report(e), Revision: c.revision})
@@ -223,7 +223,7 @@
 		Connections:   c.endpoint.connections,
 		Size:          c.endpoint.size,
 		Revision:      c.revision,
-		Leaving:       c.stopping || e.parting() || !c.endpoint.accepts(),
+		Leaving:       c.stopping || e.draining() || !c.endpoint.accepts(),
 		ReleaseAfter:  c.releaseAfter(),
 		Labels:        c.endpoint.labels,
 		Settled:       c.endpoint.settled,
--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -137,7 +137,7 @@
 		return verdict.WrongIncarnation
 	case c.Clock(now) > d.StartBy:
 		return verdict.StartByPassed
-	case c.stopping || e.parting() || !c.endpoint.accepts():
+	case c.stopping || e.draining() || !c.endpoint.accepts():
 		return verdict.WorkerLeaving
 	case d.Service != c.endpoint.service:
 		return verdict.WrongService
--- a/internal/core/agent/part.go
+++ b/internal/core/agent/drainlink.go
@@ -6,28 +6,28 @@
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 )
 
-// partPause is the shortest time between the word that a link will end and its end.
+// drainPause is the shortest time between the word that a link will end and its end.
 // What the entry had sent before it heard of it arrives in that time.
-const partPause = time.Second
+const drainPause = time.Second
 
-// parting tells whether the link ends as soon as nothing needs it.
-func (e *entryState) parting() bool { return !e.partedAt.IsZero() }
+// draining tells whether the link ends as soon as nothing needs it.
+func (e *entryState) draining() bool { return !e.drainingSince.IsZero() }
 
-// part tells the entry to send no more tasks, so that its link can end.
-func (c *Core) part(now time.Time, id msg.Incarnation) {
+// drainLink tells the entry to send no more tasks, so that its link can end.
+func (c *Core) drainLink(now time.Time, id msg.Incarnation) {
 	e := c.entries.link(id)
-	if e == nil || e.parting() {
+	if e == nil || e.draining() {
 		return
 	}
-	e.partedAt = now
+	e.drainingSince = now
 	c.send(now, e, msg.Leaving{Report: c.report(e)})
 }
 
-// closeParted ends the links that are not wanted and that nothing needs any more.
-func (c *Core) closeParted(now time.Time) {
+// closeDrained ends the links that are not wanted and that nothing needs any more.
+func (c *Core) closeDrained(now time.Time) {
 	var over []*entryState
 	for _, e := range c.entries.linked {
-		if e.parting() && now.Sub(e.partedAt) >= partPause && !c.owes(e) {
+		if e.draining() && now.Sub(e.drainingSince) >= drainPause && !c.owes(e) {
 			over = append(over, e)
 		}
 	}
--- a/internal/core/agent/part_test.go
+++ b/internal/core/agent/drainlink_test.go
@@ -13,11 +13,11 @@
 
 // Guards against a link that ends while a task of its entry runs or a result waits
 // for its acknowledgement, and against one that never ends.
-func TestPartedLinkEndsWhenNothingNeedsIt(t *testing.T) {
+func TestDrainedLinkEndsWhenNothingNeedsIt(t *testing.T) {
 	f := newIdleFixture(t)
 	f.occupy(1, 3)
 	f.core.Drain()
-	f.step(agent.Part{Entry: entry})
+	f.step(agent.DrainLink{Entry: entry})
 	f.c.Assert(sentTo[msg.Leaving](f, entry), qt.HasLen, 1)
 	for range 5 {
 		f.tick(time.Second)
@@ -35,9 +35,9 @@
 
 // Guards against a task that is taken over a link that is about to end, and against
 // a later link that stays closed to tasks.
-func TestPartedLinkTakesNoTask(t *testing.T) {
+func TestDrainedLinkTakesNoTask(t *testing.T) {
 	f := newIdleFixture(t)
-	f.step(agent.Part{Entry: entry})
+	f.step(agent.DrainLink{Entry: entry})
 	f.core.Drain()
 	d := f.dispatchOf(attempt(entry, 1))
 	d.Size, d.TaskName = msg.Size{Cores: 3}, "task"
--- a/internal/core/agent/entries.go
+++ b/internal/core/agent/entries.go
@@ -26,8 +26,8 @@
 	running int
 	// busySince is when running last rose from zero.
 	busySince time.Time
-	// partedAt is when the link was found not to be wanted any more, or zero.
-	partedAt time.Time
+	// drainingSince is when the link was found not to be wanted any more, or zero.
+	drainingSince time.Time
 	// vouched is the newest agent clock that the entry has repeated.
 	vouched time.Duration
 	// toldRoom is the room in the latest report to it.
@@ -74,7 +74,7 @@
 
 func (s *entrySet) unlink(id msg.Incarnation) {
 	if e := s.byIncarnation[id]; e != nil && e.up {
-		e.up, e.granted, e.firmUntil, e.claim, e.partedAt = false, 0, time.Time{}, msg.Claim{}, time.Time{}
+		e.up, e.granted, e.firmUntil, e.claim, e.drainingSince = false, 0, time.Time{}, msg.Claim{}, time.Time{}
 		s.linked = slices.DeleteFunc(s.linked, func(o *entryState) bool { return o == e })
 	}
 }
--- a/internal/core/agent/io.go
+++ b/internal/core/agent/io.go
@@ -19,9 +19,9 @@
 // LinkDown says that the link to an entry is broken.
 type LinkDown struct{ Entry msg.Incarnation }
 
-// Part says that the link to an entry is not wanted any more. It ends once the
+// DrainLink says that the link to an entry is not wanted any more. It ends once the
 // entry's attempts here have ended and their results are acknowledged.
-type Part struct{ Entry msg.Incarnation }
+type DrainLink struct{ Entry msg.Incarnation }
 
 // Received carries a message from a linked entry.
 type Received struct {
@@ -83,7 +83,7 @@
 
 func (LinkUp) input()            {}
 func (LinkDown) input()          {}
-func (Part) input()              {}
+func (DrainLink) input()         {}
 func (Received) input()          {}
 func (EndpointAnnounced) input() {}
 func (EndpointLeaving) input()   {}
--- a/internal/core/agent/roomnews.go
+++ b/internal/core/agent/roomnews.go
@@ -29,7 +29,7 @@
 
 // roomNews tells whether the entry should hear of room that has appeared or gone.
 func (c *Core) roomNews(now time.Time, e *entryState) bool {
-	if !c.endpoint.leased || e.parting() {
+	if !c.endpoint.leased || e.draining() {
 		return false
 	}
 	pause := linkPause * time.Duration(len(c.entries.linked))
