Send a start without an answer again at once

A start was given 25 ms, then asked for with a hold, stopped, asked for again and dispatched elsewhere: a task of 60 ms has 96 ms of slack. A hold was given its wait and 60 ms more; no end is seen until it has timed out. Ruled out: load. Jobs are as late from 8 to 10 s, after the burst.

The same start (same run, fence, lease end) is sent again up to twice; the worker answers a repeated one as it did the first. After the first, only "it runs" is final. Timeouts are long while answers come, and follow answer times (RFC 6298) once some are lost; holds are short then. A worker counts as silent after three holds and 200 ms.

Tried and left: short timeouts all the time.

Better off: callers whose task's start or end is lost on the way.

--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -32,10 +32,19 @@
 		// nothing runs there.
 		c.sendHold(Hold{Fence: c.fence, Seen: c.seen})
 	default:
-		c.sendHold(Hold{Fence: c.fence, Seen: c.seen, Until: c.renewUntil(), Wait: c.cfg.HoldWait})
+		c.sendHold(Hold{Fence: c.fence, Seen: c.seen, Until: c.renewUntil(), Wait: c.holdWait()})
 	}
 }
 
+// holdWait returns how long a hold waits for an end. While answers are lost it is short:
+// no end is seen until a hold without an answer has timed out.
+func (c *Core) holdWait() time.Duration {
+	if c.answers.Lossy() {
+		return min(c.cfg.HoldWait, c.answers.Timeout())
+	}
+	return c.cfg.HoldWait
+}
+
 // queryUnresolved sends a second hold, which does not wait for an end, while an
 // attempt needs a hold and the pending one began too early to show it.
 func (c *Core) queryUnresolved() {
@@ -45,14 +54,14 @@
 	for _, e := range c.byName {
 		if e.needsHold() && c.holdCall <= e.conclusiveAfter {
 			c.queryCall = c.nextCall()
-			c.emit(Hold{Call: c.queryCall, Instance: c.instance, Fence: c.fence, Seen: c.seen})
+			c.emit(Hold{Call: c.queryCall, Timeout: c.answers.Timeout(), Instance: c.instance, Fence: c.fence, Seen: c.seen})
 			return
 		}
 	}
 }
 
 func (c *Core) sendHold(h Hold) {
-	h.Call, h.Instance = c.nextCall(), c.instance
+	h.Call, h.Instance, h.Timeout = c.nextCall(), c.instance, h.Wait+c.answers.Timeout()
 	c.holdCall, c.holdSeen = h.Call, h.Seen
 	c.emit(h)
 }
@@ -70,6 +79,7 @@
 		c.queryCall = 0
 		c.updateClock(in)
 		if in.Status == OK {
+			c.answers.Alive()
 			c.applyLists(in)
 		}
 		return
@@ -80,6 +90,11 @@
 	}
 	delete(c.byCall, in.Call)
 	c.updateClock(in)
+	if in.Status == NoAnswer {
+		c.answers.Unanswered()
+	} else {
+		c.answers.Answered(c.now.Sub(waiting.sentAt))
+	}
 	if waiting.isStop {
 		c.stopAnswered(waiting.execution, in.Call, in.Status)
 		return
@@ -101,10 +116,15 @@
 func (c *Core) holdAnswered(in Answer) {
 	switch in.Status {
 	case OK, Fenced:
+		c.answers.Alive()
 		c.unanswered, c.nextHoldAt = 0, time.Time{}
 		c.setSilent(false)
 	default:
-		if c.unanswered++; c.unanswered >= silentAfterHolds {
+		c.answers.Unanswered()
+		if c.unanswered++; c.unanswered == 1 {
+			c.unansweredSince = c.now
+		}
+		if c.unanswered >= silentAfterHolds && c.now.Sub(c.unansweredSince) >= silentAfter {
 			c.setSilent(true)
 			c.nextHoldAt = c.now.Add(c.cfg.ProbeInterval)
 		}
--- a/internal/core/lease/io.go
+++ b/internal/core/lease/io.go
@@ -108,9 +108,11 @@
 type Output interface{ output() }
 
 // Start asks the driver to start a task at the worker. The driver answers with
-// Answer. Until is the new end of the lease, on the worker's clock.
+// Answer, with NoAnswer after Timeout. Until is the new end of the lease, on the worker's
+// clock.
 type Start struct {
 	Call     uint64
+	Timeout  time.Duration
 	Instance Instance
 	Task     string
 	Run      uint32
@@ -119,9 +121,11 @@
 	Fence    uint64
 }
 
-// Stop asks the driver to stop a run at the worker. The driver answers with Answer.
+// Stop asks the driver to stop a run at the worker. The driver answers with Answer, with
+// NoAnswer after Timeout.
 type Stop struct {
 	Call     uint64
+	Timeout  time.Duration
 	Instance Instance
 	Task     string
 	Run      uint32
@@ -129,9 +133,11 @@
 }
 
 // Hold asks the driver to renew the lease and to ask what runs and what has
-// ended. The driver answers with Answer. A zero Until renews nothing.
+// ended. The driver answers with Answer, with NoAnswer after Timeout. A zero Until renews
+// nothing.
 type Hold struct {
 	Call     uint64
+	Timeout  time.Duration
 	Instance Instance
 	Until    time.Duration
 	Fence    uint64
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/roundtrip"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
@@ -51,14 +52,24 @@
 	tickSlack = 100 * time.Millisecond
 	// stopRetryDelay is the pause before a stop that got no answer is sent again.
 	stopRetryDelay = 20 * time.Millisecond
-	// silentAfterHolds is the number of holds in a row without an answer at which the
-	// worker counts as silent. The answer to a single one may be lost.
+	// silentAfterHolds and silentAfter are the number of holds in a row without an answer,
+	// and the time since the first of them, at which the worker counts as silent. The
+	// answers to a few may be lost, and short timeouts follow each other within
+	// milliseconds.
 	silentAfterHolds = 3
+	silentAfter      = 200 * time.Millisecond
+	// maxStartCalls is how often a start is sent before its outcome is learnt from a hold.
+	maxStartCalls = 3
 	// lostAfterHolds is the number of holds in a row that must omit a running task
 	// before it counts as lost.
 	lostAfterHolds = 2
 )
 
+// answerBounds limit the timeouts of calls, apart from the time that a hold waits at the
+// worker. The worker is on the same VM and answers within a millisecond; the rest is the
+// delay of this process, which has a fraction of a core.
+var answerBounds = roundtrip.Bounds{Min: 10 * time.Millisecond, Max: 30 * time.Millisecond}
+
 // phase is the progress of this process in taking over the worker.
 type phase uint8
 
@@ -89,8 +100,12 @@
 	// silent is set while the worker does not answer holds. Its lease is then not
 	// renewed.
 	silent bool
-	// unanswered counts the holds in a row without an answer.
-	unanswered int
+	// unanswered counts the holds in a row without an answer; unansweredSince is when the
+	// first of them had timed out.
+	unanswered      int
+	unansweredSince time.Time
+	// answers follows the answer times of starts and stops, and the loss of all answers.
+	answers roundtrip.Estimator
 	// leaving is set when the worker has announced that it is ending.
 	leaving bool
 	// seen is the number of the newest end that was applied, acked that of the
@@ -112,6 +127,7 @@
 type call struct {
 	execution *execution
 	isStop    bool
+	sentAt    time.Time
 }
 
 // unownedRun is a run at the worker that belongs to no attempt of this process.
@@ -125,7 +141,7 @@
 	cfg.Term = cmp.Or(cfg.Term, DefaultTerm)
 	cfg.HoldWait = cmp.Or(cfg.HoldWait, DefaultHoldWait)
 	cfg.ProbeInterval = cmp.Or(cfg.ProbeInterval, DefaultProbeInterval)
-	return &Core{cfg: cfg, byName: make(map[string]*execution), byCall: make(map[uint64]call), unowned: make(map[unownedRun]time.Time)}
+	return &Core{cfg: cfg, answers: roundtrip.New(answerBounds), byName: make(map[string]*execution), byCall: make(map[uint64]call), unowned: make(map[unownedRun]time.Time)}
 }
 
 // MaxRunAfterRenewal returns how long after a renewal something may still run,
