Judge a worker's failures by the rate of its peers

Two failed jobs in a row quarantined a worker, and one success ended that, also the success of a long task from before. A failing worker ends its tasks early and has the most room; the second and last attempt of a task went there again when no other worker had room. Stopped tasks counted as failures. Ruled out: a quarantine that comes too late. Few jobs are lost in the first two seconds; most are lost after a success has ended it.

Change. core/health: agents report how many tasks ended and failed, for all entries; a worker is set aside when its failures among its last 64 outcomes are improbable (1e-4) at its peers' rate, and used again after as many successful trials in a row as its failing share asks for, or when its peers fail alike. A task does not start again where it failed, nor as a trial. Event 2006 and a counter tell of each change; the same for slow workers.

Tests changed: the fleet of the entry's health tests reports outcomes instead of failures in a row; TestQuarantineIsBounded has sound workers beside the failing ones, since nine that all fail are not set aside any more; TestFailedJobsAreReported is TestOutcomesAreReported and checks both counts, remembered jobs and stopped tasks.

Better off: callers whose task meets a worker that fails.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -81,7 +81,7 @@
 	// grantBudget is the number of SlotsFree messages that may be sent now.
 	grantBudget float64
 	revision    uint64
-	failed      failedJobs
+	outcomes    outcomeCounter
 	out         []Output
 }
 
@@ -208,7 +208,7 @@
 	e.reportedRoom = c.Room()
 	return msg.Slots{Room: e.reportedRoom,
 		Free: e.granted, Spare: max(0, c.Free()-e.granted-c.reservedForOthers(e)), Covers: e.lastSeq, Number: c.lastReport,
-		FailedJobs: c.failed.count,
+		Outcomes: c.outcomes.total,
 	}
 }
 
--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -155,7 +155,6 @@
 	if r.Kind == msg.ResultOK {
 		c.recordRun(now, a.job, w, r.RunTime)
 	}
-	c.recordOutcome(a.job, w, r)
 	c.applyResult(a.job, a.task, w, r)
 }
 
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -96,8 +96,6 @@
 	allotted map[string]int
 	jobs     map[uint64]*job
 	attempts map[msg.AttemptID]*attempt
-	// jobTypes holds the job types that have failed since their last success.
-	jobTypes map[jobTypeKey]*jobTypeHealth
 	timers   timerHeap
 	// dispatches counts all dispatches. It is the first Seq of new workers; see
 	// worker.seq.
@@ -122,7 +120,6 @@
 		rng:      rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation))),
 		jobs:     make(map[uint64]*job),
 		attempts: make(map[msg.AttemptID]*attempt),
-		jobTypes: make(map[jobTypeKey]*jobTypeHealth),
 		queue:    newQueue(usage),
 		workers:  newWorkerSet(),
 	}
--- a/internal/core/entry/health.go
+++ b/internal/core/entry/health.go
@@ -3,119 +3,81 @@
 import (
 	"time"
 
-	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/health"
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
-const (
-	// failedJobsLimit is the number of consecutive failed jobs after which a worker is
-	// quarantined. One failure is common and may be the job's fault.
-	failedJobsLimit = 2
-	// minQuarantine and maxQuarantine bound how long a quarantined worker waits for its
-	// next trial task. Each failed trial doubles the time.
-	minQuarantine = 5 * time.Second
-	maxQuarantine = 5 * time.Minute
-	// quarantineDivisor limits quarantine to one in this many of a service's workers in
-	// one failure domain. When more of them fail, the cause is probably not the workers.
-	quarantineDivisor = 3
-	// minFailedWorkers is the number of workers on which a job type has to fail, without a
-	// success in between, before its failures no longer count against workers.
-	minFailedWorkers = 3
-)
-
-// health is the failure record of one worker.
-type health struct {
-	failedJobs  int
-	quarantined bool
-	trialAt     time.Time
-	backoff     time.Duration
-}
+// This file applies package health to the entry's workers: their records come from the
+// agents' reports, which cover the tasks of all entries.
 
-// jobTypeKey identifies a job type of a service.
-type jobTypeKey struct{ service, jobType string }
-
-// jobTypeHealth is the failure record of one job type: the workers on which it failed
-// since its last success.
-type jobTypeHealth struct{ failedOn map[string]struct{} }
+// failingPenalty is the part of a worker's cores that has to be free beyond that of
+// another, times the share of its recent tasks that failed. Failing tasks end early and
+// leave much room.
+const failingPenalty = 2
 
 // eligible reports whether the worker may get a task. A quarantined worker takes one trial
 // task at a time.
 func (w *worker) eligible(now time.Time) bool {
-	return !w.health.quarantined || len(w.outstanding) == 0 && !now.Before(w.health.trialAt)
+	return !w.health.Quarantined() || len(w.outstanding) == 0 && w.health.TrialDue(now)
 }
 
-// recordOutcome records a result for its job type. When the job type has failed on several
-// workers in a row, it is taken for the cause, and the workers that were quarantined for
-// it are readmitted.
-func (c *Core) recordOutcome(j *job, w *worker, r msg.Result) {
-	key := jobTypeKey{j.spec.Service, j.spec.JobType}
-	if r.Kind == msg.ResultOK {
-		delete(c.jobTypes, key)
-		return
-	}
-	record := c.jobTypes[key]
-	if record == nil {
-		record = &jobTypeHealth{failedOn: make(map[string]struct{})}
-		c.jobTypes[key] = record
-	}
-	if record.suspect() {
-		return
-	}
-	record.failedOn[w.name] = struct{}{}
-	if record.suspect() {
-		c.readmit(record)
+// mayTake reports whether a leased worker may get this attempt of a task. A task that
+// failed or was stopped at a worker starts elsewhere, and none but a first attempt is used
+// as a trial: a further failure could be the job's last.
+func (w *worker) mayTake(p *pass, j *job, task int) bool {
+	t := &j.tasks[task]
+	switch {
+	case p.usable < 2:
+		return true
+	case t.lastFailedWorker == w.name:
+		return false
+	case w.health.Quarantined():
+		return t.failures == 0
 	}
+	return true
 }
 
-func (h *jobTypeHealth) suspect() bool { return len(h.failedOn) >= minFailedWorkers }
-
-// readmit ends the quarantine of the workers on which the job type failed.
-func (c *Core) readmit(record *jobTypeHealth) {
-	for name := range record.failedOn {
-		if w := c.workers.byName[name]; w != nil {
-			w.health = health{failedJobs: w.health.failedJobs}
+// updateHealth applies the outcomes in a worker's newest report.
+func (c *Core) updateHealth(now time.Time, w *worker) {
+	failed := w.health.Observe(now, w.outcomes)
+	if failed && !w.health.Quarantined() {
+		if peers, workers, quarantined := c.peerRecord(w); health.MayQuarantine(workers, quarantined) && w.health.Failing(peers) {
+			w.health.Quarantine(now)
+			c.emit(WorkerJudged{Worker: w.name, Health: verdict.Failing})
 		}
 	}
-}
-
-// updateHealth applies an agent's count of consecutive failed jobs, which covers the jobs
-// of all entries.
-func (c *Core) updateHealth(now time.Time, w *worker) {
-	before := w.health.failedJobs
-	w.health.failedJobs = w.failedJobs
-	switch {
-	case w.failedJobs == 0:
-		w.health = health{}
-	case w.failedJobs <= before || w.failedJobs < failedJobsLimit || c.jobTypeSuspect(w.hello.Service):
-	case w.health.quarantined || c.mayQuarantine(w):
-		w.health.quarantined = true
-		w.health.backoff = min(max(2*w.health.backoff, minQuarantine), maxQuarantine)
-		w.health.trialAt = now.Add(w.health.backoff)
+	if failed || w.health.Quarantined() {
+		c.readmitRecovered(w.hello.Service)
 	}
 }
 
-// jobTypeSuspect reports whether some job type of the service fails on several workers in
-// a row.
-func (c *Core) jobTypeSuspect(service string) bool {
-	for key, record := range c.jobTypes {
-		if key.service == service && record.suspect() {
-			return true
+// readmitRecovered ends the quarantine of the service's workers that have passed their
+// trial or whose peers have come to fail alike.
+func (c *Core) readmitRecovered(service string) {
+	for _, w := range c.workers.list {
+		if w.hello.Service != service || !w.health.Quarantined() {
+			continue
+		}
+		if peers, _, _ := c.peerRecord(w); w.health.Recovered(peers) {
+			c.emit(WorkerJudged{Worker: w.name, Health: verdict.Sound})
 		}
 	}
-	return false
 }
 
-// mayQuarantine reports whether enough workers of the failure domain stay in use when the
-// candidate is quarantined.
-func (c *Core) mayQuarantine(candidate *worker) bool {
-	total, quarantined := 0, 0
+// peerRecord returns the record of the service's other workers that are in use, the number
+// of its workers and how many of them are quarantined.
+func (c *Core) peerRecord(of *worker) (peers health.Rate, workers, quarantined int) {
 	for _, w := range c.workers.list {
-		if w.hello.Service != candidate.hello.Service || w.hello.FailureDomain != candidate.hello.FailureDomain {
+		if w.hello.Service != of.hello.Service || !w.linked() {
 			continue
 		}
-		total++
-		if w.health.quarantined {
+		workers++
+		switch {
+		case w.health.Quarantined():
 			quarantined++
+		case w != of:
+			peers = peers.Plus(w.health.Recent())
 		}
 	}
-	return quarantined < max(1, total/quarantineDivisor)
+	return peers, workers, quarantined
 }
--- a/internal/core/entry/health_test.go
+++ b/internal/core/entry/health_test.go
@@ -8,20 +8,21 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/poplarlever/poplarlever/internal/core/entry"
+	"github.com/poplarlever/poplarlever/internal/core/health"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 )
 
 // healthFleet is one entry core with several workers of one slot each in one failure
-// domain. It keeps a count of failed jobs for each worker.
+// domain. It counts the outcomes of each worker.
 type healthFleet struct {
 	*fixture
-	failed  map[entry.LinkID]int
+	total   map[entry.LinkID]health.Outcomes
 	numbers uint64
 	seen    map[entry.LinkID]uint64
 }
 
 func newHealthFleet(t *testing.T, workers int) *healthFleet {
-	f := &healthFleet{fixture: newFixture(t, 0), failed: make(map[entry.LinkID]int), seen: make(map[entry.LinkID]uint64)}
+	f := &healthFleet{fixture: newFixture(t, 0), total: make(map[entry.LinkID]health.Outcomes), seen: make(map[entry.LinkID]uint64)}
 	for i := range workers {
 		f.link++
 		f.step(entry.LinkUp{Link: f.link, Clock: f.clock, Hello: msg.Hello{
@@ -35,7 +36,7 @@
 
 func (f *healthFleet) slots(link entry.LinkID) msg.Slots {
 	f.numbers++
-	return msg.Slots{Free: 1, Covers: f.seen[link], Number: f.numbers, FailedJobs: f.failed[link]}
+	return msg.Slots{Free: 1, Covers: f.seen[link], Number: f.numbers, Outcomes: f.total[link]}
 }
 
 // run submits a job of one task and ends it at whichever worker gets it, with a failure if
@@ -51,13 +52,13 @@
 		if !ok {
 			continue
 		}
-		kind := msg.ResultOK
-		f.failed[s.Link]++
-		if !fails(s.Link) {
-			f.failed[s.Link] = 0
-		} else {
+		kind, total := msg.ResultOK, f.total[s.Link]
+		total.Ended++
+		if fails(s.Link) {
 			kind = msg.ResultEndpointError
+			total.Failed++
 		}
+		f.total[s.Link] = total
 		f.seen[s.Link] = d.Seq
 		f.out = nil
 		f.step(entry.Received{Link: s.Link, Clock: f.clock, Message: msg.Result{
@@ -125,7 +126,10 @@
 func TestQuarantineIsBounded(t *testing.T) {
 	f := newHealthFleet(t, 9)
 	for link := entry.LinkID(2); link <= f.link; link++ {
-		f.failed[link] = 5
+		f.total[link] = health.Outcomes{Ended: 50}
+		if link > f.link-4 {
+			f.total[link] = health.Outcomes{Ended: 50, Failed: 50}
+		}
 		f.step(entry.Received{Link: link, Clock: f.clock, Message: msg.Heartbeat{Report: f.slots(link), Revision: 7}})
 	}
 	f.submit(9, time.Minute)
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -151,12 +151,19 @@
 	Current, Late msg.Incarnation
 }
 
+// WorkerJudged reports that the entry uses a worker in another way from now on.
+type WorkerJudged struct {
+	Worker string
+	Health verdict.WorkerHealth
+}
+
 func (Send) output()           {}
 func (CloseLink) output()      {}
 func (Answered) output()       {}
 func (Progress) output()       {}
 func (Retried) output()        {}
 func (WorkerConflict) output() {}
+func (WorkerJudged) output()   {}
 
 // Outcome says how a job ended.
 type Outcome uint8
--- a/internal/core/entry/pass.go
+++ b/internal/core/entry/pass.go
@@ -17,6 +17,8 @@
 type pass struct {
 	// workers lists those that may get a task.
 	workers []*worker
+	// usable counts the workers that can run tasks, with those that may not get one now.
+	usable int
 	// totalCores counts the cores of all usable workers of the service, freeCores those
 	// believed free.
 	totalCores, freeCores float64
@@ -30,19 +32,19 @@
 // when a trial task is due.
 func (c *Core) newPass(now time.Time, service string) pass {
 	p := pass{}
-	usable, slow := 0, 0
+	slow := 0
 	for _, w := range c.workers.list {
 		if !w.usable() || w.hello.Service != service {
 			continue
 		}
-		usable++
+		p.usable++
 		if w.slowdown.slow() {
 			slow++
 		}
 		p.totalCores += w.hello.Size.Cores
 		p.freeCores += w.room.Cores
 	}
-	leaveOutSlow := slow <= max(1, usable/slowDivisor)
+	leaveOutSlow := slow <= max(1, p.usable/slowDivisor)
 	for _, w := range c.workers.list {
 		if !w.usable() || !w.hello.Leased() || w.hello.Service != service || !w.eligible(now) || leaveOutSlow && w.excludedAsSlow(now) {
 			continue
@@ -56,7 +58,7 @@
 // placed records that a worker got a task. A worker on trial gets no other.
 func (p *pass) placed(w *worker, cores float64) {
 	p.freeCores -= cores
-	if w.health.quarantined || w.slowdown.slow() {
+	if w.health.Quarantined() || w.slowdown.slow() {
 		p.workers = slices.DeleteFunc(p.workers, func(o *worker) bool { return o == w })
 	}
 }
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -33,7 +33,7 @@
 	bestScore, ties := 0.0, 0
 	p.examined += len(p.workers)
 	for _, w := range p.workers {
-		if !w.fits(size) || !w.allowed(j, task, step) {
+		if !w.fits(size) || !w.allowed(j, task, step) || !w.mayTake(p, j, task) {
 			continue
 		}
 		score := w.score(j, task, step)
@@ -70,8 +70,6 @@
 	// in the entry's own failure domain, since the network path is slower and the platform
 	// charges for it.
 	remotePenalty = 0.25
-	// failedHerePenalty outweighs affinity: the same worker may fail the task again.
-	failedHerePenalty = 4
 )
 
 // score prefers workers near the data, then fast ones with a large part of their
@@ -87,8 +85,5 @@
 	if step.Affinity != "" && w.hasLabel(step.Affinity) {
 		score += affinityScore
 	}
-	if j.tasks[task].lastFailedWorker == w.name {
-		score -= failedHerePenalty
-	}
-	return score
+	return score - failingPenalty*w.health.FailingShare()
 }
--- a/internal/core/entry/slowdown.go
+++ b/internal/core/entry/slowdown.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
 // Some workers may become several times slower than the rest, or stop making progress, and
@@ -102,7 +104,19 @@
 	mean, n := j.meanRunTime()
 	for _, r := range j.runs {
 		others := (mean*time.Duration(n) - r.duration) / time.Duration(n-1)
-		r.worker.slowdown.observe(now, float64(r.duration)/float64(others), slowdownGain)
+		c.observeSlowdown(now, r.worker, float64(r.duration)/float64(others), slowdownGain)
+	}
+}
+
+// observeSlowdown records an observation of a worker, and reports when the worker becomes slow or is slow no more.
+func (c *Core) observeSlowdown(now time.Time, w *worker, ratio, gain float64) {
+	before := w.slowdown.slow()
+	w.slowdown.observe(now, ratio, gain)
+	switch {
+	case w.slowdown.slow() && !before:
+		c.emit(WorkerJudged{Worker: w.name, Health: verdict.Slow})
+	case before && !w.slowdown.slow():
+		c.emit(WorkerJudged{Worker: w.name, Health: verdict.Sound})
 	}
 }
 
@@ -132,7 +146,7 @@
 				continue
 			}
 			a.overdue = true
-			w.slowdown.observe(now, max(overdueFactor, w.slowdown.value()), weight)
+			c.observeSlowdown(now, w, max(overdueFactor, w.slowdown.value()), weight)
 			if c.fasterWorkerExists(w, a.job) {
 				a.job.tasks[a.task].lastFailedWorker = w.name
 				a.stop = true
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/health"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/invariant"
@@ -43,11 +44,11 @@
 	room msg.Size
 	// echoedAt is when the agent clock that was last echoed to the agent was received.
 	echoedAt time.Time
-	// failedJobs is the number of consecutive jobs that failed at the worker, according to
-	// its newest report.
-	failedJobs int
-	health     health
-	slowdown   slowdown
+	// outcomes counts the tasks that have ended at the worker, according to its newest
+	// report.
+	outcomes health.Outcomes
+	health   health.Worker
+	slowdown slowdown
 	// reported is when the newest report arrived.
 	reported time.Time
 	// seq is the Seq of the latest dispatch. It starts above every Seq that an earlier
@@ -116,7 +117,7 @@
 	}
 	w.lastReport, w.covered = r.Number, max(w.covered, r.Covers)
 	w.reported = w.lastHeard
-	w.failedJobs = r.FailedJobs
+	w.outcomes = r.Outcomes
 	w.setFree(r.Free-w.inFlight(r.Covers), r.Spare)
 	w.setRoom(r)
 	return true
@@ -190,7 +191,7 @@
 func (s *workerSet) freeSlots(service string) int {
 	sum := 0
 	for _, w := range s.list {
-		if w.usable() && !w.health.quarantined && w.hello.Service == service {
+		if w.usable() && !w.health.Quarantined() && w.hello.Service == service {
 			sum += w.free + w.spare
 		}
 	}
@@ -297,7 +298,7 @@
 		w.retired = slices.Delete(w.retired, 0, 1)
 	}
 	w.retired = append(w.retired, w.incarnation)
-	w.health, w.failedJobs, w.slowdown = health{}, 0, slowdown{}
+	w.health, w.outcomes, w.slowdown = health.Worker{}, health.Outcomes{}, slowdown{}
 	w.covered, w.lastReport, w.revision, w.clock, w.clockSeen = 0, 0, 0, 0, time.Time{}
 }
 
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/health"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
@@ -91,9 +92,8 @@
 	// Number increases with every report of one agent incarnation, so that a late or
 	// repeated report never replaces a newer one.
 	Number uint64
-	// FailedJobs is the number of consecutive jobs, of any entry, whose tasks
-	// failed at the endpoint.
-	FailedJobs int
+	// Outcomes counts the tasks of all entries that have ended at the endpoint.
+	Outcomes health.Outcomes
 	// Room is the unused capacity of a leased worker.
 	Room Size
 }
--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -138,6 +138,8 @@
 		case entry.WorkerConflict:
 			logevent.WorkerConflict.Log(l.log, zap.String("worker", out.Worker),
 				zap.Uint64("current", uint64(out.Current)), zap.Uint64("late", uint64(out.Late)))
+		case entry.WorkerJudged:
+			logevent.WorkerJudged.Log(l.log, zap.String("worker", out.Worker), zap.Stringer("health", out.Health))
 		case entry.Answered:
 			if w, ok := l.waiters[out.Job]; ok {
 				delete(l.waiters, out.Job)
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -23,6 +23,8 @@
 	switch out := out.(type) {
 	case entry.Retried:
 		l.metrics.Retried(out.Reason)
+	case entry.WorkerJudged:
+		l.metrics.WorkerJudged(out.Health)
 	case entry.WorkerConflict:
 		l.metrics.WorkerConflict()
 	case entry.Send:
--- a/internal/linkpb/agent.go
+++ b/internal/linkpb/agent.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/poplarlever/poplarlever/internal/core/health"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
@@ -137,7 +138,8 @@
 }
 
 func encodeSlots(s msg.Slots) *pb.SlotReport {
-	p := &pb.SlotReport{Free: uint32(s.Free), Spare: uint32(s.Spare), Covers: s.Covers, Number: s.Number, FailedJobs: uint32(s.FailedJobs)}
+	p := &pb.SlotReport{Free: uint32(s.Free), Spare: uint32(s.Spare), Covers: s.Covers, Number: s.Number,
+		EndedTasks: s.Outcomes.Ended, FailedTasks: s.Outcomes.Failed}
 	if s.Room != (msg.Size{}) {
 		p.Room = EncodeSize(s.Room)
 	}
@@ -149,7 +151,7 @@
 func decodeSlots(p *pb.SlotReport) msg.Slots {
 	return msg.Slots{
 		Free: int(min(p.GetFree(), maxSlots)), Spare: int(min(p.GetSpare(), maxSlots)),
-		Covers: p.GetCovers(), Number: p.GetNumber(), FailedJobs: int(min(p.GetFailedJobs(), maxSlots)),
+		Covers: p.GetCovers(), Number: p.GetNumber(), Outcomes: health.Outcomes{Ended: p.GetEndedTasks(), Failed: p.GetFailedTasks()},
 		Room: DecodeSize(p.GetRoom()),
 	}
 }
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -37,6 +37,7 @@
 	LinkMalformed    = define(2003, "link_malformed", zap.WarnLevel, "a message on a link could not be decoded")
 	DuplicateWorker  = define(2004, "duplicate_worker", zap.ErrorLevel, "a second agent uses the name of a live worker")
 	WorkerConflict   = define(2005, "worker_conflict", zap.ErrorLevel, "an older agent process of a worker reconnected after a newer one")
+	WorkerJudged     = define(2006, "worker_judged", zap.InfoLevel, "the entry uses a worker in another way from now on")
 	EntryLinked      = define(3001, "entry_linked", zap.InfoLevel, "an entry accepted the link")
 	EntryUnlinked    = define(3002, "entry_unlinked", zap.WarnLevel, "the link to an entry broke or could not be opened")
 	EndpointJoined   = define(3003, "endpoint_joined", zap.InfoLevel, "the endpoint announced itself")
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -39,6 +39,7 @@
 	callerErrors                      *labelledCounter
 	dispatched, started, ended        *labelledCounter
 	workerConflicts, entryConflicts   *labelledCounter
+	workerHealth                      *labelledCounter
 	sent, received                    messageCounters
 	answerTime                        metric.Float64Histogram
 }
@@ -86,6 +87,10 @@
 	}
 	m.dispatched, m.started = m.newCounter(dispatched, "", ""), m.newCounter(started, "", "")
 	m.workerConflicts, m.entryConflicts = m.newCounter(workerConflicts, "", ""), m.newCounter(entryConflicts, "", "")
+	m.workerHealth = m.newCounter(workerHealth, "health")
+	for _, h := range verdict.WorkerHealths() {
+		m.workerHealth.add(h.String(), 0)
+	}
 	m.ended = m.newCounter(ended, "kind")
 	for _, name := range resultKinds {
 		m.ended.add(name, 0)
@@ -115,6 +120,9 @@
 // without completing its task, so that the entry queues the task again.
 func (m *Metrics) Retried(reason verdict.RetryReason) { m.retries.add(reason.String(), 1) }
 
+// WorkerJudged counts a change in how the entry uses a worker.
+func (m *Metrics) WorkerJudged(h verdict.WorkerHealth) { m.workerHealth.add(h.String(), 1) }
+
 // TaskDispatched counts an attempt sent to an agent.
 func (m *Metrics) TaskDispatched() { m.dispatched.add("", 1) }
 
