Take jobs at a stopping entry while they can end

When the stops of a failure domain's entries overlap, callers have nowhere else to go.

Change. core/objective says for one job by when it has to start, until when a late answer is of use, and whether it can end within the time that is left; the entry refuses only what cannot.

Better off: callers of entries that are replaced in turn.

--- a/internal/core/entry/admit_test.go
+++ b/internal/core/entry/admit_test.go
@@ -81,3 +81,40 @@
 		})
 	}
 }
+
+// Plays callers that have nowhere else to go while all entries of a failure domain are
+// stopped in turn: a stopping entry refuses only jobs that cannot be expected to end
+// before it stops.
+func TestStoppingEntryTakesJobsThatCanEnd(t *testing.T) {
+	const grace = 2 * time.Second
+	for _, test := range []struct {
+		name    string
+		runTime time.Duration
+		before  time.Duration
+		refused bool
+	}{
+		{"short task, early", 60 * time.Millisecond, 2 * time.Second, false},
+		{"short task, late", 60 * time.Millisecond, 500 * time.Millisecond, false},
+		{"short task, too late", 60 * time.Millisecond, 100 * time.Millisecond, true},
+		{"long task, early", 900 * time.Millisecond, 2 * time.Second, false},
+		{"long task, late", 900 * time.Millisecond, 500 * time.Millisecond, true},
+		{"unknown run time", 0, 2 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.step(entry.BeginDrain{Until: f.now.Add(grace)})
+			f.now = f.now.Add(grace - test.before)
+			f.out = nil
+			f.step(entry.Submit{Job: entry.Job{
+				ID: 1, Service: "s", JobType: "j", Account: "a", Deadline: f.now.Add(time.Minute),
+				Tasks: []entry.Task{{DeclaredRunTime: test.runTime}},
+			}})
+			answers := f.answers()
+			f.c.Assert(len(answers) == 1, qt.Equals, test.refused)
+			if test.refused {
+				f.c.Check(answers[0].Answer.Reason, qt.Equals, verdict.Draining)
+				f.c.Check(answers[0].Answer.Verdict, qt.Equals, verdict.NotRun)
+			}
+		})
+	}
+}
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -104,7 +104,9 @@
 	// one.
 	revokeTargets []*worker
 	draining      bool
-	out           []Output
+	// drainUntil is when this process stops; set while draining.
+	drainUntil time.Time
+	out        []Output
 }
 
 // New returns a core with no workers, no jobs and no policy.
@@ -170,7 +172,7 @@
 	case SetPeers:
 		c.setPeers(in)
 	case BeginDrain:
-		c.draining = true
+		c.draining, c.drainUntil = true, in.Until
 	case StopNow:
 		c.failAll(verdict.Stopped)
 	}
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -54,8 +54,9 @@
 	Peers []msg.Peer
 }
 
-// BeginDrain makes the core refuse new jobs.
-type BeginDrain struct{}
+// BeginDrain makes the core refuse the jobs that cannot be expected to be answered before
+// Until, when the process stops.
+type BeginDrain struct{ Until time.Time }
 
 // StopNow fails every job that has no answer.
 type StopNow struct{}
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -151,9 +151,6 @@
 			Message: fmt.Sprintf(format, args...), RetryAfter: retryAfter,
 		}, true
 	}
-	if c.draining {
-		return refuse(verdict.Draining, retryAfterUnavailable, "the entry is stopping")
-	}
 	if c.policy.Revision == 0 {
 		return refuse(verdict.NoTable, retryAfterUnavailable, "no table revision is known")
 	}
@@ -165,6 +162,9 @@
 	if !ok {
 		return refuse(verdict.UnknownJobType, 0, "service %q has no job %q", spec.Service, spec.JobType)
 	}
+	if c.draining && !jobType.objective(spec).EndsWithin(c.drainUntil.Sub(now)) {
+		return refuse(verdict.Draining, retryAfterUnavailable, "the entry is stopping")
+	}
 	account, ok := c.policy.Accounts[spec.Account]
 	if !ok {
 		return refuse(verdict.UnknownAccount, 0, "client account %q is not in the table", spec.Account)
--- a/internal/core/entry/overload.go
+++ b/internal/core/entry/overload.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/objective"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
@@ -12,14 +13,6 @@
 // A job that has not started by the time at which it could still be answered within it is
 // refused, so that the capacity goes to jobs that can.
 
-const (
-	// slackShare is the part of a job's slack that it may wait in the queue. The rest
-	// covers run times that are longer than declared.
-	slackShare = 0.6
-	// minQueueWait is the shortest time for which a job may wait.
-	minQueueWait = 20 * time.Millisecond
-)
-
 // sized reports whether the job's tasks take room of leased workers, so that one may fit
 // where another does not.
 func (j *job) sized() bool { return j.spec.Tasks[0].DeclaredSize != (msg.Size{}) }
@@ -44,20 +37,23 @@
 // was aborted.
 func (j *job) restartable() bool { return j.policy.MaxAttempts > 0 }
 
+// objective returns the response objective of a job.
+func (p JobTypePolicy) objective(spec Job) objective.Objective {
+	o := objective.Objective{Target: p.ResponseTarget, Factor: p.ResponseFactor}
+	for _, t := range spec.Tasks {
+		o.Longest = max(o.Longest, t.DeclaredRunTime)
+	}
+	return o
+}
+
 // latestStart returns when the first task of the job has to start for the job to meet its
-// response target; zero without a target.
+// response objective; zero without one.
 func latestStart(j *job) time.Time {
-	p := j.policy
-	if p.ResponseTarget <= 0 {
+	o := j.policy.objective(j.spec)
+	if !o.Exists() {
 		return time.Time{}
 	}
-	var longest time.Duration
-	for _, t := range j.spec.Tasks {
-		longest = max(longest, t.DeclaredRunTime)
-	}
-	wanted := time.Duration(p.ResponseFactor*float64(longest)) + p.ResponseTarget
-	slack := time.Duration(slackShare * float64(wanted-longest))
-	return j.submittedAt.Add(max(minQueueWait, slack))
+	return j.submittedAt.Add(o.LatestStart())
 }
 
 // firstTimeout returns when the job's timer first fires.
