Give the stops of unowned runs a timeout

A successor then waited for the lease to lapse, up to 0.9 s.

They have the timeout of the other stops. The random test of the lease core asserts a timeout for every call; it fails without this.

--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -221,5 +221,5 @@
 		return
 	}
 	c.unowned[s] = c.now.Add(c.cfg.ProbeInterval)
-	c.emit(Stop{Call: c.nextCall(), Instance: c.instance, Task: s.task, Run: s.run, Fence: c.fence})
+	c.emit(Stop{Call: c.nextCall(), Timeout: c.answers.Timeout(), Instance: c.instance, Task: s.task, Run: s.run, Fence: c.fence})
 }
--- a/internal/core/lease/random_test.go
+++ b/internal/core/lease/random_test.go
@@ -90,8 +90,10 @@
 	s.core, s.open = lease.New(lease.Config{}), make(map[msg.AttemptID]string)
 }
 
-// deliver carries a call to the worker and its answer back, and injects faults.
-func (s *simulation) deliver(call func() lease.Answer, number uint64) {
+// deliver carries a call to the worker and its answer back, and injects faults. It guards
+// against a call that is given no time for its answer.
+func (s *simulation) deliver(timeout time.Duration, call func() lease.Answer, number uint64) {
+	s.c.Assert(timeout >= 10*time.Millisecond, qt.IsTrue, qt.Commentf("a call has a timeout of %v", timeout))
 	process := s.process
 	back := func(a lease.Answer) {
 		s.after(s.delay(), func() {
@@ -135,11 +137,11 @@
 	for _, out := range s.core.TakeOutputs() {
 		switch out := out.(type) {
 		case lease.Start:
-			s.deliver(func() lease.Answer { return s.worker.Start(s.now, out) }, out.Call)
+			s.deliver(out.Timeout, func() lease.Answer { return s.worker.Start(s.now, out) }, out.Call)
 		case lease.Stop:
-			s.deliver(func() lease.Answer { return s.worker.Stop(s.now, out) }, out.Call)
+			s.deliver(out.Timeout, func() lease.Answer { return s.worker.Stop(s.now, out) }, out.Call)
 		case lease.Hold:
-			s.deliver(func() lease.Answer { return s.worker.Hold(s.now, out) }, out.Call)
+			s.deliver(out.Timeout, func() lease.Answer { return s.worker.Hold(s.now, out) }, out.Call)
 		case lease.Ended:
 			s.ended(out)
 		}
