Forecast room: refuse on arrival, keep late jobs for spare room

A job that had not started by 0.6 of its slack was refused then, 57 to 360 ms after its arrival, though the backlog had shown on arrival that it would not start, or though it could still be of use later.

Change. core/forecast follows the cores that arrive and those that find room while tasks wait. A job is refused on arrival when neither its wait fits its slack nor its wait behind all arrivals in time fits the time in which the answer is of use (three times the wanted time, within the caller's deadline). Others that are late go behind those in time, and leave half a standard deviation of the load free (square-root staffing). Retry-After follows the forecast and is spread over twice the time. Event 2204 says how long a job had waited.

--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -19,6 +19,8 @@
 		if s.freeSlots = 0; s.next() != nil {
 			s.freeSlots = c.workers.freeSlots(name)
 			c.dispatchService(now, name, s)
+		} else {
+			s.flow.Pass(now, 0, false)
 		}
 		s.unplaced = s.runnable()
 	}
@@ -52,6 +54,11 @@
 }
 
 func (c *Core) dispatch(now time.Time, j *job, w *worker) {
+	if j.late {
+		// The rest of a job that has started is not held back.
+		j.late = false
+		c.queue.fix(j)
+	}
 	i := c.queue.pop(j)
 	t := &j.tasks[i]
 	invariant.Check(t.attempt == nil && t.state == taskQueued && t.unresolved == 0, invariant.OneAttempt, "task %d of job %d is dispatched again without proof", i, j.spec.ID)
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -33,6 +33,10 @@
 	// latestStart is when the first task has to start for the job to meet its response
 	// target; zero without a target.
 	latestStart time.Time
+	// latestUsefulStart is when it has to start for callers to have a use for the answer.
+	latestUsefulStart time.Time
+	// late is set once the latest start of a job without dispatches has passed.
+	late bool
 	// runs records where tasks of the job ran and for how long, for comparison.
 	runs []taskRun
 	// unfinishedByStep counts the unfinished tasks of each step.
@@ -101,7 +105,10 @@
 	j := &job{spec: spec, tasks: make([]task, len(spec.Tasks)), unfinished: len(spec.Tasks)}
 	j.policy, j.submittedAt = c.policy.Services[spec.Service].JobTypes[spec.JobType], now
 	j.timer = timer{job: j, index: -1}
-	j.latestStart = latestStart(j)
+	c.setLatestStarts(j)
+	if c.arriveHopeless(now, j) {
+		return
+	}
 	c.jobs[spec.ID] = j
 	c.setTimer(&j.timer, j.firstTimeout())
 	j.countSteps()
@@ -210,10 +217,15 @@
 // outstanding attempts are revoked. The answer waits until the verdict of each dispatched
 // task is known.
 func (c *Core) failJob(j *job, reason verdict.Reason, message string) {
+	c.failWith(j, Answer{Outcome: Failed, Reason: reason, Message: message})
+}
+
+// failWith fails a job with an answer that lacks its verdict.
+func (c *Core) failWith(j *job, answer Answer) {
 	if j.pendingFailure != nil {
 		return
 	}
-	j.pendingFailure = &Answer{Outcome: Failed, Reason: reason, Message: message}
+	j.pendingFailure = &answer
 	c.queue.remove(j)
 	c.revokeAttempts(j)
 	c.finishIfSettled(j)
@@ -281,7 +293,7 @@
 // count as possibly run.
 func (c *Core) handleJobTimer(now time.Time, j *job) {
 	if now.Before(j.spec.Deadline) {
-		c.refuseUnstarted(j)
+		c.handleLatestStart(now, j)
 		return
 	}
 	c.failJob(j, verdict.DeadlineExceeded, "the deadline passed before every task had ended")
--- a/internal/core/entry/overload.go
+++ b/internal/core/entry/overload.go
@@ -46,14 +46,30 @@
 	return o
 }
 
-// latestStart returns when the first task of the job has to start for the job to meet its
-// response objective; zero without one.
-func latestStart(j *job) time.Time {
+// setLatestStarts sets by when the job has to start: to meet its response objective, and
+// to be of any use. They stay zero without an objective.
+func (c *Core) setLatestStarts(j *job) {
 	o := j.policy.objective(j.spec)
 	if !o.Exists() {
-		return time.Time{}
+		return
+	}
+	j.latestStart = j.submittedAt.Add(o.LatestStart())
+	j.latestUsefulStart = j.submittedAt.Add(o.LatestUsefulStart(j.spec.Deadline.Sub(j.submittedAt)))
+}
+
+// arriveHopeless records the arrival of a job, and refuses it if it is hopeless.
+func (c *Core) arriveHopeless(now time.Time, j *job) bool {
+	c.queue.account(j.spec.Service, j.spec.Account)
+	flow := &c.queue.services[j.spec.Service].flow
+	hopeless := c.hopeless(now, j)
+	flow.Arrived(now, j.cores(), j.policy.objective(j.spec).Longest)
+	if hopeless {
+		c.emit(Answered{Job: j.spec.ID, Answer: Answer{
+			Outcome: Refused, Verdict: verdict.NotRun, Reason: verdict.WouldMissDeadline,
+			Message: "no worker is expected to have room in time", RetryAfter: c.retryAfterRoom(now, j.spec.Service),
+		}})
 	}
-	return j.submittedAt.Add(o.LatestStart())
+	return hopeless
 }
 
 // firstTimeout returns when the job's timer first fires.
@@ -85,12 +101,87 @@
 	return n
 }
 
-// refuseUnstarted fails a job that no worker had room for in time; one that has started
-// gets until its deadline.
-func (c *Core) refuseUnstarted(j *job) {
-	if j.neverDispatched() {
-		c.failJob(j, verdict.WouldMissDeadline, "no worker had room in time")
-		return
+// handleLatestStart handles a job whose latest start has passed. One that has started gets
+// until its deadline. One that has not is late: it goes behind those in time, or is refused
+// when it cannot be expected to find room while callers have a use for the answer.
+func (c *Core) handleLatestStart(now time.Time, j *job) {
+	switch {
+	case !j.neverDispatched():
+		c.setTimer(&j.timer, j.spec.Deadline)
+	case j.late:
+		c.refuseLate(now, j)
+	default:
+		j.late = true
+		c.queue.fix(j)
+		if c.lateWait(now, j) > j.latestUsefulStart.Sub(now) {
+			c.refuseLate(now, j)
+			return
+		}
+		c.setTimer(&j.timer, earlier(j.latestUsefulStart, j.spec.Deadline))
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// refuseLate fails a job that no worker had room for.
+func (c *Core) refuseLate(now time.Time, j *job) {
+	c.failWith(j, Answer{
+		Outcome: Failed, Reason: verdict.WouldMissDeadline, Message: "no worker had room in time",
+		RetryAfter: c.retryAfterRoom(now, j.spec.Service),
+	})
+}
+
+// hopeless reports whether a job that has just arrived cannot be expected to find room
+// while callers have a use for the answer.
+func (c *Core) hopeless(now time.Time, j *job) bool {
+	if j.latestStart.IsZero() {
+		return false
+	}
+	s := c.queue.services[j.spec.Service]
+	if s.flow.Wait(s.coresAhead(j)) <= j.latestStart.Sub(now) {
+		return false
+	}
+	return c.lateWait(now, j) > j.latestUsefulStart.Sub(now)
+}
+
+// lateWait returns the time until the last task of the job finds room behind the jobs that
+// are in time.
+func (c *Core) lateWait(now time.Time, j *job) time.Duration {
+	s := c.queue.services[j.spec.Service]
+	return s.flow.WaitBehind(now, s.coresAhead(j)+j.cores())
+}
+
+// cores returns the cores of all tasks of the job.
+func (j *job) cores() float64 {
+	sum := 0.0
+	for _, t := range j.spec.Tasks {
+		sum += t.DeclaredSize.Cores
+	}
+	return sum
+}
+
+const (
+	// minRetryAfter and maxRetryAfter bound the time after which a refused caller may come
+	// back, before it is spread.
+	minRetryAfter = time.Second
+	maxRetryAfter = 5 * time.Second
+)
+
+// retryAfterRoom returns when a refused caller may come back: once the backlog is expected
+// to be gone. Callers that are refused together come back over as long a time again.
+func (c *Core) retryAfterRoom(now time.Time, service string) time.Duration {
+	s := c.queue.services[service]
+	backlog := 0.0
+	for _, a := range s.accounts {
+		for _, j := range a.jobs {
+			backlog += j.queuedCores()
+		}
 	}
-	c.setTimer(&j.timer, j.spec.Deadline)
+	wait := min(max(s.flow.WaitBehind(now, backlog), minRetryAfter), maxRetryAfter)
+	return wait + time.Duration(c.rng.Int64N(int64(wait)))
 }
--- a/internal/core/entry/pass.go
+++ b/internal/core/entry/pass.go
@@ -22,6 +22,9 @@
 	// totalCores counts the cores of all usable workers of the service, freeCores those
 	// believed free.
 	totalCores, freeCores float64
+	// lateCores counts the free cores that a late job may take; placedCores those that
+	// tasks got in this pass.
+	lateCores, placedCores float64
 	// maxFree is an upper bound of the free cores of any worker in the list.
 	maxFree float64
 	// examined counts the workers examined for a task, once for each task.
@@ -58,6 +61,8 @@
 // placed records that a worker got a task. A worker on trial gets no other.
 func (p *pass) placed(w *worker, cores float64) {
 	p.freeCores -= cores
+	p.lateCores -= cores
+	p.placedCores += cores
 	if w.health.Quarantined() || w.slowdown.slow() {
 		p.workers = slices.DeleteFunc(p.workers, func(o *worker) bool { return o == w })
 	}
@@ -82,6 +87,14 @@
 // find room.
 func (c *Core) dispatchService(now time.Time, name string, s *serviceQueue) {
 	s.pass = c.newPass(now, name)
+	s.pass.lateCores = s.pass.freeCores - s.flow.Reserve(s.pass.totalCores-s.pass.freeCores)
+	c.placeQueued(now, s)
+	s.flow.Pass(now, s.pass.placedCores, s.inTimeWaiting())
+}
+
+// placeQueued dispatches queued tasks in order until one has to wait, and then those that
+// still find room.
+func (c *Core) placeQueued(now time.Time, s *serviceQueue) {
 	for {
 		j := s.next()
 		if j == nil {
@@ -102,7 +115,7 @@
 func (c *Core) backfill(now time.Time, s *serviceQueue, waiting *job) {
 	for _, a := range s.accounts {
 		for _, j := range a.jobs {
-			if j != waiting && !s.pass.tooLarge(j) {
+			if j != waiting && !s.pass.tooLarge(j) && (!j.late || j.queuedCores() <= s.pass.lateCores) {
 				s.candidates = append(s.candidates, queuedJob{j, a})
 			}
 		}
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -26,7 +26,7 @@
 // pickLeased returns the leased worker for a task, or nil.
 func (c *Core) pickLeased(p *pass, j *job, task int) *worker {
 	size, step := j.spec.Tasks[task].DeclaredSize, j.step(task)
-	if p.tooLarge(j) || p.freeCores-size.Cores < c.reservedCores(p, j) {
+	if p.tooLarge(j) || p.freeCores-size.Cores < c.reservedCores(p, j) || j.late && j.queuedCores() > p.lateCores {
 		return nil
 	}
 	var best *worker
--- a/internal/core/entry/queue.go
+++ b/internal/core/entry/queue.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/forecast"
 	"github.com/poplarlever/poplarlever/internal/core/limits"
 )
 
@@ -26,6 +27,8 @@
 	unplaced int
 	// pass is the current pass over the queue.
 	pass pass
+	// flow forecasts when the service will have room.
+	flow forecast.Flow
 	// candidates is reused by every backfill.
 	candidates []queuedJob
 }
@@ -176,9 +179,48 @@
 	return a.jobs[x].compare(a.jobs[y]) < 0
 }
 
-// compare orders jobs: by latest start where they have a response target, then by fewest
-// unfinished tasks, then by ID.
+// inTimeWaiting reports whether a task waits that may be dispatched and whose job is not
+// late.
+func (s *serviceQueue) inTimeWaiting() bool {
+	for _, a := range s.accounts {
+		if a.ready() && !a.jobs[0].late {
+			return true
+		}
+	}
+	return false
+}
+
+// coresAhead returns the cores of the queued tasks that come before the job.
+func (s *serviceQueue) coresAhead(j *job) float64 {
+	sum := 0.0
+	for _, a := range s.accounts {
+		for _, o := range a.jobs {
+			if o != j && o.compare(j) < 0 {
+				sum += o.queuedCores()
+			}
+		}
+	}
+	return sum
+}
+
+// queuedCores returns the cores of the job's queued tasks.
+func (j *job) queuedCores() float64 {
+	sum := 0.0
+	for _, i := range j.queuedTasks {
+		sum += j.spec.Tasks[i].DeclaredSize.Cores
+	}
+	return sum
+}
+
+// compare orders jobs: late ones last, then by latest start where they have a response
+// target, then by fewest unfinished tasks, then by ID.
 func (j *job) compare(o *job) int {
+	if j.late != o.late {
+		if j.late {
+			return 1
+		}
+		return -1
+	}
 	return cmp.Or(j.latestStart.Compare(o.latestStart), cmp.Compare(j.unfinished, o.unfinished), cmp.Compare(j.spec.ID, o.spec.ID))
 }
 
--- a/internal/entryd/frontdoor.go
+++ b/internal/entryd/frontdoor.go
@@ -58,10 +58,11 @@
 // Submit waits for its end and returns its answer if that is complete; otherwise it
 // runs the new job. When ctx ends, what has not ended is stopped.
 func (f *FrontDoor) Submit(ctx context.Context, name string, job entry.Job) entry.Answer {
+	arrived := time.Now()
 	answer := f.daemon.jobs.submitNamed(ctx, jobName{job.Account, name}, job)
 	if answer.Outcome != entry.Complete {
 		f.daemon.counts.add(answer.Reason)
-		logJobNotDone(f.daemon.log, name, job, answer)
+		logJobNotDone(f.daemon.log, name, job, answer, time.Since(arrived))
 	}
 	return answer
 }
@@ -110,7 +111,8 @@
 }
 
 // logJobNotDone logs why a job was refused or failed.
-func logJobNotDone(log *zap.Logger, name string, job entry.Job, a entry.Answer) {
+func logJobNotDone(log *zap.Logger, name string, job entry.Job, a entry.Answer, waited time.Duration) {
 	logevent.JobNotDone.Log(log, zap.String("job", name), zap.String("service", job.Service), zap.String("job_type", job.JobType),
-		zap.Int("tasks", len(job.Tasks)), zap.Stringer("reason", a.Reason), zap.Stringer("verdict", a.Verdict), zap.String("message", a.Message))
+		zap.Int("tasks", len(job.Tasks)), zap.Stringer("reason", a.Reason), zap.Stringer("verdict", a.Verdict), zap.String("message", a.Message),
+		zap.Int64("waited_ms", waited.Milliseconds()), zap.Int64("retry_after_ms", a.RetryAfter.Milliseconds()))
 }
