Recall a worker from the store after an agent's restart

After a loss of power the links of the entries that came back last were up to 0.4 s later than they, since dials pause 50 to 250 ms.

An agent keeps the latest announcement of its leased worker in the store and reads it at its start. The record proves nothing: no task starts before the worker has answered a hold as that instance; a leaving worker's record is not used, an older one never replaces a newer. Links that have just broken are dialled again after 20 to 60 ms for 2 s.

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -31,6 +31,8 @@
 	epoch    time.Time
 	log      *zap.Logger
 	counter  *linkpb.Counter
+	// record is nil without a leased worker or a store.
+	record *recordKeeper
 
 	stopNowOnce sync.Once
 	stopNow     chan struct{}
@@ -56,6 +58,9 @@
 	if d.opts.leased != nil {
 		d.loop.leased = &leasedDriver{loop: d.loop, core: lease.New(lease.Config{}), worker: d.opts.leased}
 		d.tracker.timeout = leasedAnnounceTimeout
+		if d.opts.recordStore != nil {
+			d.record = newRecordKeeper(d.opts.recordStore, worker, log)
+		}
 	}
 	server.Handle("POST /v1/announce", http.HandlerFunc(d.tracker.handleAnnounce))
 	server.Handle("POST /v1/leave", http.HandlerFunc(d.tracker.handleLeave))
@@ -89,6 +94,10 @@
 	go d.loop.run(runCtx)
 	go d.watchEndpoint(runCtx)
 	go d.maintainLinks(runCtx)
+	if d.record != nil {
+		go d.record.run(runCtx)
+		go d.recallWorker(runCtx)
+	}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- d.server.Serve() }()
 	d.server.SetReady(true)
--- a/internal/agentd/endpoint_tracker.go
+++ b/internal/agentd/endpoint_tracker.go
@@ -106,6 +106,13 @@
 	t.everJoined, t.gone = true, false
 }
 
+// heard reports whether an endpoint has ever announced itself to this process.
+func (t *endpointTracker) heard() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.lastHeard.IsZero()
+}
+
 // checkSilence tells the core when the endpoint has stopped announcing itself.
 func (t *endpointTracker) checkSilence() {
 	t.mu.Lock()
--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -19,15 +19,20 @@
 	Start(ctx context.Context, s lease.Start) lease.Answer
 	Stop(ctx context.Context, s lease.Stop) lease.Answer
 	Hold(ctx context.Context, h lease.Hold) lease.Answer
+	// SetAddress sets the address (host:port) of later calls.
+	SetAddress(address string)
 }
 
-// WorkerAnnouncement is the state that a leased worker announces.
+// WorkerAnnouncement is the state that a leased worker announces. Its JSON form is kept in
+// the store.
 type WorkerAnnouncement struct {
 	Instance lease.Instance
-	Service  string
-	Slots    int
-	Size     msg.Size
-	Labels   []string
+	// Address is where the worker takes calls (host:port).
+	Address string
+	Service string
+	Slots   int
+	Size    msg.Size
+	Labels  []string
 	// Number increases with each announcement of one Instance.
 	Number uint64
 	// Leaving means that the worker accepts no new tasks in this Instance.
@@ -98,19 +103,30 @@
 // use.
 func (d *Daemon) Announced(a WorkerAnnouncement) {
 	d.tracker.recordAnnouncement(Announcement{Service: a.Service, Join: uint64(a.Instance.StartedAtMs), Leaving: a.Leaving})
-	d.loop.submit(func(now time.Time) {
-		d.loop.leased.core.Step(now, lease.Announced{Instance: a.Instance})
-		d.loop.leased.reportLease(now)
-		d.loop.core.Step(now, agent.EndpointAnnounced{
-			Service: a.Service, Slots: a.Slots, Connections: a.Slots, Size: a.Size, Labels: a.Labels, Leased: true,
-			Join: uint64(a.Instance.StartedAtMs), Number: a.Number, Leaving: a.Leaving,
-		})
+	if d.record != nil {
+		d.record.announced(a)
+	}
+	d.loop.submit(func(now time.Time) { d.loop.leased.applyAnnouncement(now, a) })
+}
+
+// applyAnnouncement passes an announcement of the worker to the cores. The worker is not
+// used before it has answered a call as the announced instance.
+func (d *leasedDriver) applyAnnouncement(now time.Time, a WorkerAnnouncement) {
+	d.worker.SetAddress(a.Address)
+	d.core.Step(now, lease.Announced{Instance: a.Instance})
+	d.reportLease(now)
+	d.loop.core.Step(now, agent.EndpointAnnounced{
+		Service: a.Service, Slots: a.Slots, Connections: a.Slots, Size: a.Size, Labels: a.Labels, Leased: true,
+		Join: uint64(a.Instance.StartedAtMs), Number: a.Number, Leaving: a.Leaving,
 	})
 }
 
 // Left handles a leased worker's notice that the given instance is leaving. It is safe
 // for concurrent use.
 func (d *Daemon) Left(instance lease.Instance) {
+	if d.record != nil {
+		d.record.left(instance.ID)
+	}
 	d.loop.submit(func(now time.Time) {
 		if d.loop.leased.core.WorkerLeaving(now, instance) {
 			d.loop.core.Step(now, agent.EndpointLeaving{})
--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -26,6 +26,12 @@
 	// link is dialled again.
 	priorityRedialMin = 50 * time.Millisecond
 	priorityRedialMax = 250 * time.Millisecond
+	// quickRedialMin and quickRedialMax replace them for quickRedialTime after a priority
+	// link was first dialled or has broken: processes and VMs that were lost together come
+	// back within a second of each other.
+	quickRedialMin  = 20 * time.Millisecond
+	quickRedialMax  = 60 * time.Millisecond
+	quickRedialTime = 2 * time.Second
 	// deferredDialMin and deferredDialMax bound the random pause before every dial of
 	// any other link.
 	deferredDialMin = 300 * time.Millisecond
@@ -75,32 +81,45 @@
 
 // run maintains the link until ctx ends.
 func (k *linker) run(ctx context.Context) {
-	if !k.priority && !sleepBetween(ctx, deferredDialMin, deferredDialMax) {
+	if !k.priority && !sleepBetween(ctx, pauseRange{deferredDialMin, deferredDialMax}) {
 		return
 	}
+	failingSince := time.Now()
 	for {
 		linked, err := k.link(ctx)
-		if !linked {
+		if linked {
+			failingSince = time.Now()
+		} else {
 			k.selector.dialFailed(time.Now(), k.address)
 		}
 		if err != nil && ctx.Err() == nil {
 			logevent.EntryUnlinked.Log(k.log, zap.String("address", k.address), zap.Error(err))
 		}
-		low, high := deferredDialMin, deferredDialMax
-		if k.priority {
-			low, high = priorityRedialMin, priorityRedialMax
-		}
-		if !sleepBetween(ctx, low, high) {
+		if !sleepBetween(ctx, k.redialPause(time.Since(failingSince))) {
 			return
 		}
 	}
 }
 
-// sleepBetween waits for a random time between low and high. It returns false if ctx
-// has ended.
-func sleepBetween(ctx context.Context, low, high time.Duration) bool {
+// pauseRange bounds a random pause.
+type pauseRange struct{ low, high time.Duration }
+
+// redialPause returns the pause before the next dial of a link that has been down for the
+// given time.
+func (k *linker) redialPause(down time.Duration) pauseRange {
+	switch {
+	case !k.priority:
+		return pauseRange{deferredDialMin, deferredDialMax}
+	case down < quickRedialTime:
+		return pauseRange{quickRedialMin, quickRedialMax}
+	}
+	return pauseRange{priorityRedialMin, priorityRedialMax}
+}
+
+// sleepBetween waits for a random time in the range. It returns false if ctx has ended.
+func sleepBetween(ctx context.Context, r pauseRange) bool {
 	select {
-	case <-time.After(low + rand.N(high-low)):
+	case <-time.After(r.low + rand.N(r.high-r.low)):
 		return ctx.Err() == nil
 	case <-ctx.Done():
 		return false
--- a/internal/agentd/links_test.go
+++ b/internal/agentd/links_test.go
@@ -28,3 +28,13 @@
 	c.Check(sent[0].GetHello().GetService(), qt.Equals, "route-desk")
 	c.Check(sent[0].GetHello().GetLeaving(), qt.IsFalse)
 }
+
+// Guards against links that stay down for long after all processes were lost together, and
+// against an entry that is gone and is dialled many times a second for ever.
+func TestRedialPause(t *testing.T) {
+	c := qt.New(t)
+	priority, deferred := &linker{priority: true}, &linker{}
+	c.Check(priority.redialPause(0).high < 100*time.Millisecond, qt.IsTrue)
+	c.Check(priority.redialPause(time.Minute).low >= 50*time.Millisecond, qt.IsTrue)
+	c.Check(deferred.redialPause(0), qt.Equals, deferred.redialPause(time.Minute))
+}
--- a/internal/agentd/options.go
+++ b/internal/agentd/options.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/store"
 	"github.com/poplarlever/poplarlever/internal/telemetry"
 )
 
@@ -18,6 +19,8 @@
 	clientTLS  *tls.Config
 	leased     LeasedWorker
 	directory  Directory
+	// recordStore is nil unless the worker's announcement is kept in the store.
+	recordStore store.Store
 }
 
 func newOptions(opts []Option) options {
@@ -54,6 +57,10 @@
 // announcements to Announced and Left.
 func WithLeasedWorker(w LeasedWorker) Option { return func(o *options) { o.leased = w } }
 
+// WithWorkerRecord makes the agent keep the latest announcement of its leased worker in
+// the store, so that its successor can call the worker at once.
+func WithWorkerRecord(s store.Store) Option { return func(o *options) { o.recordStore = s } }
+
 // WithMetrics makes the agent record metrics in m and export them on /metrics.
 func WithMetrics(m *telemetry.Metrics) Option { return func(o *options) { o.metrics = m } }
 
--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -125,13 +125,13 @@
 		agentd.WithLinks(s.Links), agentd.WithFailureDomain(s.FailureDomain), agentd.WithReadyDelay(s.ReadyDelay.Duration), agentd.WithMetrics(m), agentd.WithClientTLS(t.Client),
 	}
 	if client := storeClient(s.Store); client != nil {
-		options = append(options, agentd.WithDirectory(agentd.StoreDirectory(client, entryd.EntriesPrefix)))
+		options = append(options, agentd.WithDirectory(agentd.StoreDirectory(client, entryd.EntriesPrefix)), agentd.WithWorkerRecord(client))
 	}
 	if s.Platform.Service == "" {
 		return agentd.New(core, s.Worker, time.Time(clockEpoch), s.Entries, server, log, options...)
 	}
 	worker := platform.NewWorker()
 	d := agentd.New(core, s.Worker, time.Time(clockEpoch), s.Entries, server, log, append(options, agentd.WithLeasedWorker(worker))...)
-	platform.NewAnnouncements(d, worker, s.Platform.Service).Register(server.Handle)
+	platform.NewAnnouncements(d, s.Platform.Service).Register(server.Handle)
 	return d
 }
--- a/internal/core/forecast/forecast.go
+++ b/internal/core/forecast/forecast.go
@@ -157,5 +157,5 @@
 	if f.meanCores <= 0 {
 		return 0
 	}
-	return reserveDeviations * math.Sqrt(max(0, busy) * f.meanSquare / f.meanCores)
+	return reserveDeviations * math.Sqrt(max(0, busy)*f.meanSquare/f.meanCores)
 }
