Know a hanging worker from all its tasks; stop every overdue one

A task without ended siblings is overdue at five times its declared run time, and a worker counted as slow after about four of them, as each weighs 0.3. The first ones were marked as seen then and never stopped: their jobs waited for the deadline.

Change. health.Silent: tasks of two jobs that have run for 2.5 times their declared time, with no end at the worker since they started, show that it hangs. Each overdue task of a slow worker is stopped, also one that was overdue before.

Better off: callers whose task meets a hanging worker.

--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -137,6 +137,7 @@
 
 func (c *Core) handleResult(now time.Time, w *worker, r msg.Result) {
 	w.acks.add(now, r)
+	w.lastEnd = now
 	if r.Kind != msg.ResultEndpointFailed {
 		c.usage.Release(r.Attempt)
 	}
--- a/internal/core/entry/slowdown.go
+++ b/internal/core/entry/slowdown.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/health"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
@@ -108,7 +109,8 @@
 	}
 }
 
-// observeSlowdown records an observation of a worker, and reports when the worker becomes slow or is slow no more.
+// observeSlowdown records an observation of a worker, and reports when the worker becomes
+// slow or is slow no more.
 func (c *Core) observeSlowdown(now time.Time, w *worker, ratio, gain float64) {
 	before := w.slowdown.slow()
 	w.slowdown.observe(now, ratio, gain)
@@ -134,28 +136,56 @@
 // can take over.
 func (c *Core) checkOverdue(now time.Time) {
 	for _, w := range c.workers.list {
-		if !w.hello.Leased() {
+		if !w.hello.Leased() || !w.busy() {
 			continue
 		}
+		if !w.slowdown.slow() && health.Silent(w.runningSinceLastEnd(now)) {
+			c.observeSlowdown(now, w, slowThreshold, 1)
+		}
 		for _, a := range w.outstanding {
-			if a.overdue || !a.job.restartable() || a.job.spec.Tasks[a.task].DeclaredRunTime <= 0 {
-				continue
-			}
-			limit, weight := a.job.overdueAfter(a.task)
-			if now.Sub(a.sentAt) < limit {
-				continue
-			}
-			a.overdue = true
-			c.observeSlowdown(now, w, max(overdueFactor, w.slowdown.value()), weight)
-			if c.fasterWorkerExists(w, a.job) {
-				a.job.tasks[a.task].lastFailedWorker = w.name
-				a.stop = true
-				c.queueRevoke(a)
-			}
+			c.checkAttempt(now, w, a)
 		}
 	}
 }
 
+// runningSinceLastEnd returns the worker's attempts that were dispatched after the latest
+// end there.
+func (w *worker) runningSinceLastEnd(now time.Time) []health.Running {
+	var running []health.Running
+	for _, a := range w.outstanding {
+		if a.sentAt.After(w.lastEnd) {
+			running = append(running, health.Running{
+				Job: a.job.spec.ID, For: now.Sub(a.sentAt), Expected: a.job.spec.Tasks[a.task].DeclaredRunTime,
+			})
+		}
+	}
+	return running
+}
+
+// checkAttempt records an overdue attempt as an observation, once, and stops it as soon as
+// its worker is slow and another is not.
+func (c *Core) checkAttempt(now time.Time, w *worker, a *attempt) {
+	if a.stop || !a.job.restartable() || a.job.spec.Tasks[a.task].DeclaredRunTime <= 0 {
+		return
+	}
+	limit, weight := a.job.overdueAfter(a.task)
+	if w.slowdown.slow() {
+		limit = min(limit, max(minOverdue, time.Duration(overdueFactor*float64(a.job.spec.Tasks[a.task].DeclaredRunTime))))
+	}
+	if now.Sub(a.sentAt) < limit {
+		return
+	}
+	if !a.overdue {
+		a.overdue = true
+		c.observeSlowdown(now, w, max(overdueFactor, w.slowdown.value()), weight)
+	}
+	if c.fasterWorkerExists(w, a.job) {
+		a.job.tasks[a.task].lastFailedWorker = w.name
+		a.stop = true
+		c.queueRevoke(a)
+	}
+}
+
 // fasterWorkerExists reports whether the worker is slow and another usable worker of the
 // service is not.
 func (c *Core) fasterWorkerExists(w *worker, j *job) bool {
--- a/internal/core/entry/slowdown_test.go
+++ b/internal/core/entry/slowdown_test.go
@@ -114,3 +114,38 @@
 	f.c.Check(again[f.slow.link], qt.HasLen, 0)
 	f.c.Check(again, qt.HasLen, 1)
 }
+
+// Plays a worker that hangs with tasks of several jobs of one task each, so that no job
+// has other tasks to compare with: all of them, the first as well, have to start elsewhere
+// soon after a few times their declared run time (100 ms).
+func TestTasksLeaveAHangingWorker(t *testing.T) {
+	f := newSlowdownFixture(t)
+	stuck := make(map[msg.AttemptID]bool)
+	for range 12 {
+		f.submitSized("patient", 3, 1)
+	}
+	for link, ds := range f.dispatched() {
+		if link != f.slow.link {
+			f.finish(link, ds)
+			continue
+		}
+		for _, d := range ds {
+			stuck[d.Attempt] = true
+		}
+	}
+	f.c.Assert(len(stuck) >= 2, qt.IsTrue, qt.Commentf("%d tasks", len(stuck)))
+	for range 20 {
+		f.advance(tick)
+		for _, w := range f.workers {
+			w.send(msg.Heartbeat{Report: w.report()})
+		}
+	}
+	for _, r := range take[msg.Revoke](f.fixture) {
+		for _, ref := range r.Attempts {
+			if r.Stop {
+				delete(stuck, ref.Attempt)
+			}
+		}
+	}
+	f.c.Check(stuck, qt.HasLen, 0)
+}
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -63,6 +63,8 @@
 	covered     uint64
 	revision    uint64
 	outstanding []*attempt
+	// lastEnd is when the latest result arrived.
+	lastEnd time.Time
 	// busySince is when outstanding last rose from zero.
 	busySince time.Time
 	// claimedWaiting reports whether the latest claim sent had waiting tasks.
