Let a failed task start again at the only worker that can run it

Found by reading: a task that failed at a worker was kept away from it while another worker was in use, also when no other has the label or the size that the task needs; its job waited for the deadline.

The other worker has to be able to run the task, and must not be quarantined.

Better off: callers whose steps need a label that one worker has.

--- a/internal/core/entry/health.go
+++ b/internal/core/entry/health.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/health"
@@ -23,18 +24,19 @@
 
 // mayTake reports whether a leased worker may get this attempt of a task. A task that
 // failed or was stopped at a worker starts elsewhere, and none but a first attempt is used
-// as a trial: a further failure could be the job's last.
-func (w *worker) mayTake(p *pass, j *job, task int) bool {
+// as a trial, since a further failure could be the job's last. Both hold only while another
+// worker can run the task.
+func (w *worker) mayTake(p *pass, j *job, task int, step Step) bool {
 	t := &j.tasks[task]
-	switch {
-	case p.usable < 2:
+	failedHere := t.lastFailedWorker == w.name
+	trialOfRetry := w.health.Quarantined() && t.failures > 0
+	if !failedHere && !trialOfRetry {
 		return true
-	case t.lastFailedWorker == w.name:
-		return false
-	case w.health.Quarantined():
-		return t.failures == 0
 	}
-	return true
+	size := j.spec.Tasks[task].DeclaredSize
+	return !slices.ContainsFunc(p.workers, func(o *worker) bool {
+		return o != w && !o.health.Quarantined() && o.name != t.lastFailedWorker && size.FitsIn(o.hello.Size) && o.hasRequiredLabel(step)
+	})
 }
 
 // updateHealth applies the outcomes in a worker's newest report.
--- a/internal/core/entry/health_test.go
+++ b/internal/core/entry/health_test.go
@@ -135,3 +135,34 @@
 	f.submit(9, time.Minute)
 	f.c.Assert(take[msg.Dispatch](f.fixture), qt.HasLen, 6)
 }
+
+// Guards against a task that is given up at the only worker with the label that it needs,
+// and against one that starts again where it failed although another worker can run it.
+func TestFailedTaskStartsElsewhereIfItCan(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		label     string
+		elsewhere bool
+	}{
+		{"another worker has the label", "b", true},
+		{"no other worker has the label", "c", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := leasedFixture(t)
+			w1 := f.linkLeased("w1", 32, "b")
+			w2 := f.linkLeased("w2", 8, test.label)
+			workers := map[entry.LinkID]*leasedWorker{w1.link: w1, w2.link: w2}
+			f.step(entry.Submit{Job: entry.Job{
+				ID: 1, Service: "s", JobType: "patient", Account: "a", Deadline: f.now.Add(10 * time.Second),
+				Steps: []entry.Step{{Requires: "b"}},
+				Tasks: []entry.Task{{DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: 100 * time.Millisecond}},
+			}})
+			for link, ds := range f.dispatched() {
+				workers[link].end(ds[0], msg.ResultEndpointError)
+				again := f.dispatched()
+				f.c.Assert(again, qt.HasLen, 1)
+				f.c.Check(len(again[link]) == 0, qt.Equals, test.elsewhere)
+			}
+		})
+	}
+}
--- a/internal/core/entry/pass.go
+++ b/internal/core/entry/pass.go
@@ -17,8 +17,6 @@
 type pass struct {
 	// workers lists those that may get a task.
 	workers []*worker
-	// usable counts the workers that can run tasks, with those that may not get one now.
-	usable int
 	// totalCores counts the cores of all usable workers of the service, freeCores those
 	// believed free.
 	totalCores, freeCores float64
@@ -35,19 +33,19 @@
 // when a trial task is due.
 func (c *Core) newPass(now time.Time, service string) pass {
 	p := pass{}
-	slow := 0
+	usable, slow := 0, 0
 	for _, w := range c.workers.list {
 		if !w.usable() || w.hello.Service != service {
 			continue
 		}
-		p.usable++
+		usable++
 		if w.slowdown.slow() {
 			slow++
 		}
 		p.totalCores += w.hello.Size.Cores
 		p.freeCores += w.room.Cores
 	}
-	leaveOutSlow := slow <= max(1, p.usable/slowDivisor)
+	leaveOutSlow := slow <= max(1, usable/slowDivisor)
 	for _, w := range c.workers.list {
 		if !w.usable() || !w.hello.Leased() || w.hello.Service != service || !w.eligible(now) || leaveOutSlow && w.excludedAsSlow(now) {
 			continue
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -33,7 +33,7 @@
 	bestScore, ties := 0.0, 0
 	p.examined += len(p.workers)
 	for _, w := range p.workers {
-		if !w.fits(size) || !w.allowed(j, task, step) || !w.mayTake(p, j, task) {
+		if !w.fits(size) || !w.allowed(j, task, step) || !w.mayTake(p, j, task, step) {
 			continue
 		}
 		score := w.score(j, task, step)
@@ -55,12 +55,16 @@
 
 // allowed reports whether the step's constraints let the task run at the worker.
 func (w *worker) allowed(j *job, task int, step Step) bool {
-	if step.Requires != "" && !w.hasLabel(step.Requires) {
+	if !w.hasRequiredLabel(step) {
 		return false
 	}
 	return step.MaxPerWorker == 0 || j.runningAt(w, j.spec.Tasks[task].Step) < step.MaxPerWorker
 }
 
+func (w *worker) hasRequiredLabel(step Step) bool {
+	return step.Requires == "" || w.hasLabel(step.Requires)
+}
+
 func (w *worker) hasLabel(label string) bool { return slices.Contains(w.hello.Labels, label) }
 
 const (
