--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -125,7 +125,7 @@
 }
 
 func readyDelay(d *Duration) Field {
-	return Field{"ready_delay", "At a planned stop, how long /readyz answers 503 before work is refused, so that the balancer notices.", d, durationBetween(d, 0, 5*time.Minute), ""}
+	return Field{"ready_delay", "At a planned stop, how long /readyz answers 503 before work that cannot end within `stop_limit` is refused, so that the balancer notices.", d, durationBetween(d, 0, 5*time.Minute), ""}
 }
 
 func tlsMode(t *TLS, insecure *bool, addresses func() []string) Field {
