Let only runs that started since end a worker's slowness

A slow worker recovers with a run of ordinary length that started after it became slow. The test fails without it.

Better off: callers whose task would go to a worker that is still slow.

--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -161,7 +161,7 @@
 	}
 	c.charge(a.job, r.RunTime)
 	if r.Kind == msg.ResultOK {
-		c.recordRun(now, a.job, w, r.RunTime)
+		c.recordRun(now, a.job, w, a.sentAt, r.RunTime)
 	}
 	c.applyResult(a.job, a.task, w, r)
 }
--- a/internal/core/entry/slowdown.go
+++ b/internal/core/entry/slowdown.go
@@ -53,6 +53,8 @@
 type slowdown struct {
 	factor float64
 	at     time.Time
+	// since is when the worker became slow.
+	since time.Time
 }
 
 func (s slowdown) value() float64 {
@@ -62,21 +64,31 @@
 	return s.factor
 }
 
-func (s *slowdown) observe(now time.Time, ratio, gain float64) {
+// observe applies the ratio of a run that started at the given time. A slow worker
+// recovers with a run of ordinary length that started after it became slow.
+func (s *slowdown) observe(now, started time.Time, ratio, gain float64) {
 	ratio = min(max(ratio, minObservedRatio), maxObservedRatio)
-	if s.slow() && ratio < recoveredThreshold {
+	wasSlow := s.slow()
+	switch {
+	case wasSlow && ratio < recoveredThreshold && !started.After(s.since):
+		return
+	case wasSlow && ratio < recoveredThreshold:
 		s.factor = ratio
-	} else {
+	default:
 		s.factor = (1-gain)*s.value() + gain*ratio
 	}
 	s.at = now
+	if s.slow() && !wasSlow {
+		s.since = now
+	}
 }
 
 func (s slowdown) slow() bool { return s.value() >= slowThreshold }
 
-// taskRun records where a task ran and for how long.
+// taskRun records where a task ran, from when and for how long.
 type taskRun struct {
 	worker   *worker
+	started  time.Time
 	duration time.Duration
 }
 
@@ -94,26 +106,26 @@
 
 // recordRun records the run time of an ended task. The tasks of a job are compared only
 // once all have ended: before that, those at fast workers are the only ones.
-func (c *Core) recordRun(now time.Time, j *job, w *worker, took time.Duration) {
+func (c *Core) recordRun(now time.Time, j *job, w *worker, started time.Time, took time.Duration) {
 	if !w.hello.Leased() || took <= 0 || len(j.spec.Steps) > 1 {
 		return
 	}
-	j.runs = append(j.runs, taskRun{w, took})
+	j.runs = append(j.runs, taskRun{w, started, took})
 	if len(j.runs) < len(j.tasks) || len(j.runs) < 2 {
 		return
 	}
 	mean, n := j.meanRunTime()
 	for _, r := range j.runs {
 		others := (mean*time.Duration(n) - r.duration) / time.Duration(n-1)
-		c.observeSlowdown(now, r.worker, float64(r.duration)/float64(others), slowdownGain)
+		c.observeSlowdown(now, r.worker, r.started, float64(r.duration)/float64(others), slowdownGain)
 	}
 }
 
 // observeSlowdown records an observation of a worker, and reports when the worker becomes
 // slow or is slow no more.
-func (c *Core) observeSlowdown(now time.Time, w *worker, ratio, gain float64) {
+func (c *Core) observeSlowdown(now time.Time, w *worker, started time.Time, ratio, gain float64) {
 	before := w.slowdown.slow()
-	w.slowdown.observe(now, ratio, gain)
+	w.slowdown.observe(now, started, ratio, gain)
 	switch {
 	case w.slowdown.slow() && !before:
 		c.emit(WorkerJudged{Worker: w.name, Health: verdict.Slow})
@@ -140,7 +152,7 @@
 			continue
 		}
 		if !w.slowdown.slow() && health.Silent(w.runningSinceLastEnd(now)) {
-			c.observeSlowdown(now, w, slowThreshold, 1)
+			c.observeSlowdown(now, w, now, slowThreshold, 1)
 		}
 		for _, a := range w.outstanding {
 			c.checkAttempt(now, w, a)
@@ -177,7 +189,7 @@
 	}
 	if !a.overdue {
 		a.overdue = true
-		c.observeSlowdown(now, w, max(overdueFactor, w.slowdown.value()), weight)
+		c.observeSlowdown(now, w, a.sentAt, max(overdueFactor, w.slowdown.value()), weight)
 	}
 	if c.fasterWorkerExists(w, a.job) {
 		a.job.tasks[a.task].lastFailedWorker = w.name
--- a/internal/core/entry/slowdown_test.go
+++ b/internal/core/entry/slowdown_test.go
@@ -149,3 +149,21 @@
 	}
 	f.c.Check(stuck, qt.HasLen, 0)
 }
+
+// Guards against a worker that is used like the others again because a task ends there
+// that had started before the worker became slow.
+func TestRunFromBeforeDoesNotEndSlowness(t *testing.T) {
+	f := newSlowdownFixture(t)
+	f.submitSized("patient", 3, 4)
+	before := f.dispatched()
+	f.c.Assert(before[f.slow.link], qt.HasLen, 1)
+	f.now = f.now.Add(time.Millisecond)
+	for range 4 {
+		f.runJob()
+	}
+	for link, ds := range before {
+		f.finish(link, ds)
+	}
+	f.submitSized("patient", 3, 12)
+	f.c.Check(f.dispatched()[f.slow.link], qt.HasLen, 0)
+}
