--- a/internal/core/lease/execution.go
+++ b/internal/core/lease/execution.go
@@ -26,15 +26,8 @@
 	id        msg.AttemptID
 	name      string
 	run       uint32
-	payload   []byte
 	state     runState
 	startedAt time.Time
-	// startCalls counts the starts sent. After the first, a refusal proves nothing: an
-	// earlier one may still be carried out.
-	startCalls int
-	// startUntil is the end of the lease that every start of the run names. A repeated one
-	// does not extend it: this process may have been paused meanwhile.
-	startUntil time.Duration
 	// endBy is when the attempt has used up its run time; zero means no limit.
 	endBy time.Time
 	// stopRequested is set once the attempt has to end.
@@ -67,25 +60,17 @@
 		c.emit(Ended{Attempt: in.Attempt, Kind: msg.ResultNotReached, Reason: reason})
 		return
 	}
-	e := &execution{id: in.Attempt, name: in.Task, run: in.Run, payload: in.Payload, startedAt: c.now}
+	e := &execution{id: in.Attempt, name: in.Task, run: in.Run, startedAt: c.now}
 	if in.Limit > 0 {
 		e.endBy = c.now.Add(in.Limit)
 	}
 	c.byName[in.Task] = e
-	e.startUntil = c.renewUntil()
-	c.sendStart(e)
-}
-
-// sendStart sends a start for the first time or again. The worker answers a repeated one
-// as it did the first, and starts no run twice.
-func (c *Core) sendStart(e *execution) {
 	n := c.nextCall()
-	e.startCalls++
 	e.conclusiveAfter = n
 	c.byCall[n] = call{execution: e, sentAt: c.now}
 	c.emit(Start{
-		Call: n, Timeout: c.answers.Timeout(), Instance: c.instance, Task: e.name, Run: e.run,
-		Payload: e.payload, Until: e.startUntil, Fence: c.fence,
+		Call: n, Timeout: c.answers.Timeout(), Instance: c.instance, Task: in.Task, Run: in.Run,
+		Payload: in.Payload, Until: c.renewUntil(), Fence: c.fence,
 	})
 }
 
@@ -133,14 +118,11 @@
 	if c.byName[e.name] != e || e.state != starting {
 		return
 	}
-	switch {
-	case status == OK:
+	switch status {
+	case OK:
 		e.state, e.ran = running, true
 		e.conclusiveAfter = c.lastCall
-	case status == NoAnswer && e.startCalls < maxStartCalls && !e.stopRequested && c.Ready():
-		c.sendStart(e)
-		return
-	case status == NoAnswer || e.startCalls > 1:
+	case NoAnswer:
 		e.state = startUnknown
 		// Only a hold that begins from now on shows whether it runs.
 		e.conclusiveAfter = c.lastCall
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -58,8 +58,6 @@
 	// milliseconds.
 	silentAfterHolds = 3
 	silentAfter      = 200 * time.Millisecond
-	// maxStartCalls is how often a start is sent before its outcome is learnt from a hold.
-	maxStartCalls = 3
 	// lostAfterHolds is the number of holds in a row that must omit a running task
 	// before it counts as lost.
 	lostAfterHolds = 2
--- a/internal/core/roundtrip/roundtrip.go
+++ b/internal/core/roundtrip/roundtrip.go
@@ -1,12 +1,12 @@
-// Package roundtrip decides how long to wait for the answer to a call before sending it
-// again, and whether the answers of a peer are being lost.
+// Package roundtrip decides how long to wait for the answer to a call before it counts as
+// lost, and whether the answers of a peer are being lost.
 //
 // It is made for a peer that answers within a millisecond and, for some seconds, leaves
 // one call in ten or more without an answer. A timeout that is safe while a process is
 // busy then costs a task of 60 ms half of the time that it has, while a short one costs a
 // connection for each answer that is merely late. So the timeout is long as long as
 // answers come, and follows the answer times once some are lost. The rule is judged by
-// the time from a lost answer to the next call, and by the calls repeated in vain.
+// the time from a lost answer to the next call, and by the answers given up in vain.
 //
 // The package does no I/O and reads no clock. An Estimator is not safe for concurrent use.
 package roundtrip
