--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -24,6 +24,8 @@
 	// sends the job again.
 	resendPause = 1300 * time.Millisecond
 	leasedTick  = 20 * time.Millisecond
+	// maxClockSlowness is by how much a worker's clock may be slow.
+	maxClockSlowness = 0.02
 	// leasedAnnounceInterval is the pause between announcements of a worker.
 	leasedAnnounceInterval = 1500 * time.Millisecond
 )
@@ -162,6 +164,7 @@
 		}
 		return took, lease.Done
 	})
+	a.worker.SetClockRate(1 - maxClockSlowness*w.rng.Float64())
 }
 
 func (w *leasedWorld) callDelay() time.Duration {
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -26,6 +26,7 @@
 	// taskOutcome returns the run time of a task and how it ends.
 	taskOutcome  func(task string) (time.Duration, lease.EndKind)
 	startTime    time.Time
+	clockRate    float64
 	leaseEnd     time.Duration
 	highestFence uint64
 	runs         map[string]*run
@@ -42,11 +43,17 @@
 
 // New returns a worker whose clock starts at now.
 func New(instance lease.Instance, now time.Time, slots int, taskOutcome func(task string) (time.Duration, lease.EndKind)) *Worker {
-	return &Worker{Instance: instance, slots: slots, taskOutcome: taskOutcome, startTime: now, runs: make(map[string]*run), blockedRuns: make(map[string]uint32)}
+	return &Worker{Instance: instance, clockRate: 1, slots: slots, taskOutcome: taskOutcome, startTime: now, runs: make(map[string]*run), blockedRuns: make(map[string]uint32)}
 }
 
-// Clock returns the reading of the worker's clock, the time since its start.
-func (w *Worker) Clock(now time.Time) time.Duration { return now.Sub(w.startTime) }
+// SetClockRate makes the worker's clock slow, with a rate below 1. It is called before any
+// call is executed.
+func (w *Worker) SetClockRate(rate float64) { w.clockRate = rate }
+
+// Clock returns the reading of the worker's clock, which begins at its start.
+func (w *Worker) Clock(now time.Time) time.Duration {
+	return time.Duration(float64(now.Sub(w.startTime)) * w.clockRate)
+}
 
 // Running returns the running tasks with their run numbers.
 func (w *Worker) Running(now time.Time) map[string]uint32 {
