Log what ends tasks without a message of their entry or agent

Event 2007 tells of attempts that an entry releases, 3107 of a lease that is not extended, with the unconfirmed stops and the silence of the entry, and 3108 of attempts stopped for a silent entry.

--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -71,6 +71,9 @@
 		case lease.Restarted:
 			logevent.WorkerRestarted.Log(d.loop.log, zap.String("id", out.Instance.ID),
 				zap.Int64("started_at_ms", out.Instance.StartedAtMs), zap.Int("attempts", out.Attempts))
+		case lease.Limited:
+			logevent.LeaseLimited.Log(d.loop.log, zap.Int("unconfirmed_stops", out.UnconfirmedStops),
+				zap.Int64("owner_silence_ms", out.OwnerSilence.Milliseconds()))
 		case lease.StateChanged:
 			d.reportLease(now)
 		}
--- a/internal/agentd/loop.go
+++ b/internal/agentd/loop.go
@@ -125,6 +125,8 @@
 			go l.runTask(out)
 		case agent.EntrySeen:
 			l.leased.core.Step(clock.Now(), lease.OwnerSeen{Owner: out.Entry, At: out.At})
+		case agent.OrphansStopped:
+			logevent.OrphansStopped.Log(l.log, zap.Uint64("entry_incarnation", uint64(out.Entry)), zap.Int("attempts", out.Attempts))
 		case agent.StopTask:
 			l.leased.core.Step(clock.Now(), lease.StopTask{Attempt: out.Attempt})
 		case agent.ApplyTable:
--- a/internal/core/agent/io.go
+++ b/internal/core/agent/io.go
@@ -126,6 +126,13 @@
 	At    time.Time
 }
 
+// OrphansStopped reports that attempts under a lease are stopped because their entry has
+// sent back no recent agent clock.
+type OrphansStopped struct {
+	Entry    msg.Incarnation
+	Attempts int
+}
+
 // StopTask asks the driver to stop an attempt that runs under a lease. Its
 // TaskEnded follows.
 type StopTask struct{ Attempt msg.AttemptID }
@@ -143,10 +150,11 @@
 // ApplyTable asks the driver to put a table revision in force.
 type ApplyTable struct{ Revision uint64 }
 
-func (Send) output()          {}
-func (Start) output()         {}
-func (StopTask) output()      {}
-func (EntrySeen) output()     {}
-func (ApplyTable) output()    {}
-func (CloseLink) output()     {}
-func (EntryConflict) output() {}
+func (Send) output()           {}
+func (Start) output()          {}
+func (StopTask) output()       {}
+func (EntrySeen) output()      {}
+func (OrphansStopped) output() {}
+func (ApplyTable) output()     {}
+func (CloseLink) output()      {}
+func (EntryConflict) output()  {}
--- a/internal/core/agent/leased.go
+++ b/internal/core/agent/leased.go
@@ -52,11 +52,21 @@
 	if !c.endpoint.leased || c.running == 0 {
 		return
 	}
+	var stopped OrphansStopped
 	for _, id := range c.runningIDs() {
 		e := c.entries.byIncarnation[id.Entry]
-		if e == nil || c.Clock(now)-e.echoedClock >= c.cfg.OrphanAfter {
-			c.stopAttempt(id)
+		if e != nil && c.Clock(now)-e.echoedClock < c.cfg.OrphanAfter || !c.stopAttempt(id) {
+			continue
+		}
+		if id.Entry != stopped.Entry && stopped.Attempts > 0 {
+			c.emit(stopped)
+			stopped.Attempts = 0
 		}
+		stopped.Entry = id.Entry
+		stopped.Attempts++
+	}
+	if stopped.Attempts > 0 {
+		c.emit(stopped)
 	}
 }
 
@@ -79,16 +89,19 @@
 	}
 }
 
-func (c *Core) stopAttempt(id msg.AttemptID) {
+// stopAttempt requests the end of a running attempt and reports whether it is the first
+// request.
+func (c *Core) stopAttempt(id msg.AttemptID) bool {
 	a := c.attempts[id]
 	if a == nil || a.state != stateRunning || a.stopping || !c.endpoint.leased {
-		return
+		return false
 	}
 	a.stopping = true
 	c.emit(StopTask{Attempt: id})
+	return true
 }
 
-// runningIDs returns the running attempts in a fixed order.
+// runningIDs returns the running attempts in a fixed order, those of one entry together.
 func (c *Core) runningIDs() []msg.AttemptID {
 	var ids []msg.AttemptID
 	for id, a := range c.attempts {
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -158,13 +158,22 @@
 	Health verdict.WorkerHealth
 }
 
-func (Send) output()           {}
-func (CloseLink) output()      {}
-func (Answered) output()       {}
-func (Progress) output()       {}
-func (Retried) output()        {}
-func (WorkerConflict) output() {}
-func (WorkerJudged) output()   {}
+// AttemptsReleased reports that attempts at a leased worker count as ended without a
+// message from their agent, which was not heard for Silence.
+type AttemptsReleased struct {
+	Worker   string
+	Attempts int
+	Silence  time.Duration
+}
+
+func (Send) output()             {}
+func (CloseLink) output()        {}
+func (Answered) output()         {}
+func (Progress) output()         {}
+func (Retried) output()          {}
+func (WorkerConflict) output()   {}
+func (WorkerJudged) output()     {}
+func (AttemptsReleased) output() {}
 
 // Outcome says how a job ended.
 type Outcome uint8
--- a/internal/core/entry/leased.go
+++ b/internal/core/entry/leased.go
@@ -46,6 +46,9 @@
 			ended = append(ended, a)
 		}
 	}
+	if len(ended) > 0 {
+		c.emit(AttemptsReleased{Worker: w.name, Attempts: len(ended), Silence: now.Sub(w.lastHeard)})
+	}
 	for _, a := range ended {
 		c.attemptAborted(a)
 	}
--- a/internal/core/lease/io.go
+++ b/internal/core/lease/io.go
@@ -175,6 +175,13 @@
 	Attempts int
 }
 
+// Limited says that the lease cannot be extended far enough to start tasks, because of
+// stops that are not confirmed or an entry that has been silent for OwnerSilence.
+type Limited struct {
+	UnconfirmedStops int
+	OwnerSilence     time.Duration
+}
+
 // StateChanged says that Ready or Settled may have changed.
 type StateChanged struct{}
 
@@ -184,3 +191,4 @@
 func (Ended) output()        {}
 func (StateChanged) output() {}
 func (Restarted) output()    {}
+func (Limited) output()      {}
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -373,7 +373,24 @@
 	if limited := c.leaseEnd().Sub(c.now) < minStartLease; limited != c.limited {
 		c.limited = limited
 		c.emit(StateChanged{})
+		if limited {
+			c.emit(c.limit())
+		}
+	}
+}
+
+// limit returns what keeps the lease from being extended.
+func (c *Core) limit() Limited {
+	l := Limited{UnconfirmedStops: len(c.unowned)}
+	for _, e := range c.byName {
+		if e.stopRequested {
+			l.UnconfirmedStops++
+		}
+	}
+	for _, o := range c.owners {
+		l.OwnerSilence = max(l.OwnerSilence, c.now.Sub(o.seen))
 	}
+	return l
 }
 
 // renewUntil returns the lease's new end on the worker's clock and records when
--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -140,6 +140,9 @@
 				zap.Uint64("current", uint64(out.Current)), zap.Uint64("late", uint64(out.Late)))
 		case entry.WorkerJudged:
 			logevent.WorkerJudged.Log(l.log, zap.String("worker", out.Worker), zap.Stringer("health", out.Health))
+		case entry.AttemptsReleased:
+			logevent.AttemptsReleased.Log(l.log, zap.String("worker", out.Worker),
+				zap.Int("attempts", out.Attempts), zap.Int64("silence_ms", out.Silence.Milliseconds()))
 		case entry.Answered:
 			if w, ok := l.waiters[out.Job]; ok {
 				delete(l.waiters, out.Job)
--- a/internal/logevent/endpoints.go
+++ b/internal/logevent/endpoints.go
@@ -9,5 +9,7 @@
 	DirectoryUnread     = define(3104, "directory_unread", zap.WarnLevel, "the list of entries could not be read from the store")
 	WorkerRecordFailed  = define(3105, "worker_record_failed", zap.WarnLevel, "the record of the worker could not be read or written in the store")
 	WorkerRestarted     = define(3106, "worker_restarted", zap.InfoLevel, "the worker runs again as a new instance with the ID that it had")
+	LeaseLimited        = define(3107, "lease_limited", zap.WarnLevel, "the lease of the worker is not extended, because tasks there have to end")
+	OrphansStopped      = define(3108, "orphans_stopped", zap.WarnLevel, "the attempts of an entry that has sent back no recent clock are stopped")
 	AttemptsCutOff      = define(3102, "attempts_cut_off", zap.ErrorLevel, "the stop limit passed with attempts at the endpoint")
 )
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -38,6 +38,7 @@
 	DuplicateWorker  = define(2004, "duplicate_worker", zap.ErrorLevel, "a second agent uses the name of a live worker")
 	WorkerConflict   = define(2005, "worker_conflict", zap.ErrorLevel, "an older agent process of a worker reconnected after a newer one")
 	WorkerJudged     = define(2006, "worker_judged", zap.InfoLevel, "the entry uses a worker in another way from now on")
+	AttemptsReleased = define(2007, "attempts_released", zap.InfoLevel, "attempts at a worker count as ended without a message from its agent")
 	EntryLinked      = define(3001, "entry_linked", zap.InfoLevel, "an entry accepted the link")
 	EntryUnlinked    = define(3002, "entry_unlinked", zap.WarnLevel, "the link to an entry broke or could not be opened")
 	EndpointJoined   = define(3003, "endpoint_joined", zap.InfoLevel, "the endpoint announced itself")
