Refuse heartbeats with values that no worker can have

What callers saw: nothing yet; another writer's heartbeat with a port of 99999, no port, -8 slots or a start at -1 ms was taken for the worker's.

The decoder checked types and presence, not values.

Evidence (before): go test ./platform -run Heartbeat fails for "negative slots", "start before 1970", "no port", "port out of range" and "address with a path", and FuzzHeartbeat for three of its seeds. Refused before and after: slots that are not whole, 1e400, deep and unclosed nesting.

WorkerAnnouncement.Validate; package hostport checks an address. A port is 1 to 65535, counts are whole and not negative, a worker starts after 1970. Refusals are logged as announcement_refused, as before.

After: the tests pass; FuzzHeartbeat ran 10 s (110,000 inputs) without a finding.

--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,7 @@
 	"github.com/poplarlever/poplarlever/internal/core/agent"
 	"github.com/poplarlever/poplarlever/internal/core/lease"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/hostport"
 	"github.com/poplarlever/poplarlever/internal/logevent"
 )
 
@@ -39,6 +41,25 @@
 	Leaving bool
 }
 
+// Validate returns an error for an announcement that no worker can have made. It may come
+// from another writer and must not be used.
+func (a WorkerAnnouncement) Validate() error {
+	switch {
+	case a.Instance.ID == "" || a.Service == "":
+		return errMalformedAnnouncement.New("the announcement names no worker or no service")
+	case a.Instance.StartedAtMs <= 0:
+		return errMalformedAnnouncement.New("the worker started at %d ms, which is not a time after 1970", a.Instance.StartedAtMs)
+	case a.Slots < 0:
+		return errMalformedAnnouncement.New("the worker has %d slots", a.Slots)
+	case !(a.Size.Cores >= 0) || math.IsInf(a.Size.Cores, 1):
+		return errMalformedAnnouncement.New("the worker has %v cores", a.Size.Cores)
+	}
+	if err := hostport.Check(a.Address); err != nil {
+		return errMalformedAnnouncement.Wrap(err, "the worker cannot be called")
+	}
+	return nil
+}
+
 // leasedDriver passes inputs and outputs between the agent core, the lease core and
 // the worker. Its methods except call run on the loop's goroutine.
 type leasedDriver struct {
