Replace a worker only once it answers as another instance

Another writer's announcement with a later start time, a start time of -1 or another address took the real worker out of use for the rest of its life, or pointed the agent's calls elsewhere; its running tasks were reported as ended while they ran on, so that entries would start them elsewhere as well.

An announcement was proof: the newest start time replaced the instance at once and kept out all earlier ones, as a 64 bit join number (-1 is the largest); the address was taken from any announcement, late ones too. Only the worker's next restart, at a later time of day, ended it.

Announcements of an instance that has answered are used; one of another instance makes the agent ask the worker first, and is refused (announcement_refused) while the worker answers as the one in use. The worker's answers are compared with the start time in them. The agent core gets a count of the instances as join number. lease.Announced.Replaces lets a caller that knows better override the order of start times; the token of an instance is kept for its successor, as a late call may have shown it to one with the same ID.

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -56,11 +56,13 @@
 	d.loop.log = log
 	d.tracker = &endpointTracker{loop: d.loop, log: log, timeout: announceTimeout}
 	if d.opts.leased != nil {
-		d.loop.leased = &leasedDriver{loop: d.loop, core: lease.New(lease.Config{}), worker: d.opts.leased}
 		d.tracker.timeout = leasedAnnounceTimeout
 		if d.opts.recordStore != nil {
 			d.record = newRecordKeeper(d.opts.recordStore, worker, log)
 		}
+		d.loop.leased = &leasedDriver{
+			loop: d.loop, core: lease.New(lease.Config{}), worker: d.opts.leased, tracker: d.tracker, record: d.record,
+		}
 	}
 	server.Handle("POST /v1/announce", http.HandlerFunc(d.tracker.handleAnnounce))
 	server.Handle("POST /v1/leave", http.HandlerFunc(d.tracker.handleLeave))
--- /dev/null
+++ b/internal/agentd/instance.go
@@ -0,0 +1,140 @@
+package agentd
+
+import (
+	"context"
+	"time"
+
+	"github.com/poplarlever/poplarlever/internal/core/agent"
+	"github.com/poplarlever/poplarlever/internal/core/lease"
+)
+
+// An announcement proves nothing: it may come from another writer, late, or from a sender
+// whose numbers are wrong. Once the worker has answered as the announced instance, an
+// announcement of another one is used only if the worker no longer answers as the first.
+// Otherwise one odd announcement would end the worker's tasks for the entries while they
+// run, and an odd start time would keep out all later announcements of the real worker.
+
+const (
+	// checkTimeout bounds a call that asks whether the worker still is the present instance.
+	checkTimeout = 30 * time.Millisecond
+	// checkPause is the pause before a check without an answer is repeated.
+	checkPause = 50 * time.Millisecond
+	// checkLimit bounds the checks for one announcement. It exceeds the time after which
+	// the tasks of a worker that answers no more have ended.
+	checkLimit = 3 * time.Second
+)
+
+// instanceCheck is the state of a leasedDriver that decides which announcements are used.
+type instanceCheck struct {
+	// present is the newest announcement in use; it has no ID before the first.
+	present WorkerAnnouncement
+	// adoptions counts the instances used so far, and orders them for the agent core. Start
+	// times do not: the worker's time of day may have been set back.
+	adoptions uint64
+	// answered is set once the worker has answered as the present instance.
+	answered bool
+	// rival is the newest announcement of another instance since the check began, at
+	// rivalSince; nil without a check.
+	rival      *WorkerAnnouncement
+	rivalSince time.Time
+}
+
+// applyAnnouncement uses an announcement of the present instance, or checks whether
+// another one has taken its place.
+func (d *leasedDriver) applyAnnouncement(now time.Time, a WorkerAnnouncement) {
+	samePlace := a.Instance == d.present.Instance && a.Address == d.present.Address
+	switch {
+	case samePlace:
+		a.Leaving = a.Leaving || d.present.Leaving
+		d.present = a
+		d.pass(now)
+	case !d.answered:
+		d.adopt(now, a)
+	case a.Instance == d.present.Instance:
+		d.loop.announcementRefused(errMalformedAnnouncement.New("worker %s answers at %s, not at %s", a.Instance.ID, d.present.Address, a.Address))
+	case d.rival != nil:
+		d.rival = &a
+	default:
+		d.rival, d.rivalSince = &a, now
+		d.checkPresent()
+	}
+}
+
+// adopt begins to use another instance. No task starts before the worker has answered as
+// that instance.
+func (d *leasedDriver) adopt(now time.Time, a WorkerAnnouncement) {
+	d.present, d.answered, d.rival = a, false, nil
+	d.adoptions++
+	d.worker.SetAddress(a.Address)
+	d.core.Step(now, lease.Announced{Instance: a.Instance, Replaces: true})
+	d.reportLease(now)
+	d.pass(now)
+}
+
+// pass gives the present announcement to those that follow it.
+func (d *leasedDriver) pass(now time.Time) {
+	a := d.present
+	if d.tracker != nil {
+		d.tracker.recordAnnouncement(Announcement{Service: a.Service, Join: d.adoptions, Leaving: a.Leaving})
+	}
+	if d.answered && d.record != nil {
+		d.record.announced(a)
+	}
+	d.loop.core.Step(now, agent.EndpointAnnounced{
+		Service: a.Service, Slots: a.Slots, Connections: a.Slots, Size: a.Size, Labels: a.Labels, Leased: true,
+		Join: d.adoptions, Number: a.Number, Leaving: a.Leaving,
+	})
+}
+
+// instanceAnswered records that the worker has answered as the present instance.
+func (d *leasedDriver) instanceAnswered() {
+	if d.answered {
+		return
+	}
+	d.answered = true
+	if d.record != nil {
+		d.record.announced(d.present)
+	}
+}
+
+// checkPresent asks whether the worker still is the present instance.
+func (d *leasedDriver) checkPresent() {
+	ask := lease.Hold{Instance: d.present.Instance, Timeout: checkTimeout}
+	fence := d.core.Fence()
+	go func() {
+		answer := d.worker.Hold(context.Background(), ask)
+		if answer.Status == lease.Fenced {
+			// Only an accepted call shows when the instance started.
+			ask.Fence = fence
+			answer = d.worker.Hold(context.Background(), ask)
+		}
+		d.loop.submit(func(now time.Time) { d.presentChecked(now, ask.Instance, answer.Status) })
+	}()
+}
+
+// presentChecked applies the answer to a check.
+func (d *leasedDriver) presentChecked(now time.Time, asked lease.Instance, status lease.Status) {
+	rival := d.rival
+	switch {
+	case rival == nil || asked != d.present.Instance:
+	case status == lease.OK || status == lease.Fenced:
+		d.rival = nil
+		d.loop.announcementRefused(errMalformedAnnouncement.New("worker %s is announced, but %s answers", rival.Instance.ID, asked.ID))
+	case status == lease.WrongInstance:
+		d.adopt(now, *rival)
+	case !d.core.Ready() && d.loop.core.Running() == 0:
+		// Nothing is lost if the worker is only silent.
+		d.adopt(now, *rival)
+	case now.Sub(d.rivalSince) >= checkLimit:
+		// The next announcement begins a new check.
+		d.rival = nil
+	default:
+		time.AfterFunc(checkPause, func() { d.loop.submit(func(time.Time) { d.repeatCheck() }) })
+	}
+}
+
+func (d *leasedDriver) repeatCheck() {
+	if d.rival != nil {
+		d.checkPresent()
+	}
+}
--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -66,8 +66,12 @@
 	loop   *loop
 	core   *lease.Core
 	worker LeasedWorker
+	// tracker and record follow the announcements that are accepted; each may be nil.
+	tracker *endpointTracker
+	record  *recordKeeper
 	// reported is the lease state last given to the agent core.
 	reported agent.LeaseChanged
+	instanceCheck
 }
 
 // startAttempt starts an attempt under the lease.
@@ -105,6 +109,9 @@
 
 func (d *leasedDriver) reportLease(now time.Time) {
 	state := agent.LeaseChanged{Ready: d.core.Ready(), Settled: d.core.Settled()}
+	if state.Settled {
+		d.instanceAnswered()
+	}
 	if state == d.reported {
 		return
 	}
@@ -123,25 +130,9 @@
 // Announced handles an announcement of the leased worker. It is safe for concurrent
 // use.
 func (d *Daemon) Announced(a WorkerAnnouncement) {
-	d.tracker.recordAnnouncement(Announcement{Service: a.Service, Join: uint64(a.Instance.StartedAtMs), Leaving: a.Leaving})
-	if d.record != nil {
-		d.record.announced(a)
-	}
 	d.loop.submit(func(now time.Time) { d.loop.leased.applyAnnouncement(now, a) })
 }
 
-// applyAnnouncement passes an announcement of the worker to the cores. The worker is not
-// used before it has answered a call as the announced instance.
-func (d *leasedDriver) applyAnnouncement(now time.Time, a WorkerAnnouncement) {
-	d.worker.SetAddress(a.Address)
-	d.core.Step(now, lease.Announced{Instance: a.Instance})
-	d.reportLease(now)
-	d.loop.core.Step(now, agent.EndpointAnnounced{
-		Service: a.Service, Slots: a.Slots, Connections: a.Slots, Size: a.Size, Labels: a.Labels, Leased: true,
-		Join: uint64(a.Instance.StartedAtMs), Number: a.Number, Leaving: a.Leaving,
-	})
-}
-
 // Left handles a leased worker's notice that the given instance is leaving. It is safe
 // for concurrent use.
 func (d *Daemon) Left(instance lease.Instance) {
@@ -150,12 +141,15 @@
 	}
 	d.loop.submit(func(now time.Time) {
 		if d.loop.leased.core.WorkerLeaving(now, instance) {
+			d.loop.leased.present.Leaving = true
 			d.loop.core.Step(now, agent.EndpointLeaving{})
 		}
 	})
 }
 
 // Refused logs an announcement that was rejected with err.
-func (d *Daemon) Refused(err error) {
-	logevent.AnnouncementRefused.Log(d.log, zap.Error(err))
+func (d *Daemon) Refused(err error) { d.loop.announcementRefused(err) }
+
+func (l *loop) announcementRefused(err error) {
+	logevent.AnnouncementRefused.Log(l.log, zap.Error(err))
 }
--- /dev/null
+++ b/internal/agentd/odd_announcement_test.go
@@ -0,0 +1,254 @@
+package agentd
+
+import (
+	"context"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/poplarlever/poplarlever/internal/clock"
+	"github.com/poplarlever/poplarlever/internal/core/agent"
+	"github.com/poplarlever/poplarlever/internal/core/lease"
+	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/fake/worker"
+	"github.com/poplarlever/poplarlever/internal/httpserver"
+)
+
+const workerAddress = "10.0.0.9:80"
+
+// instanceWorker is a worker that answers at workerAddress alone. As on the wire, calls
+// name an instance by its ID, and only the lists in an answer tell when it started.
+type instanceWorker struct {
+	mu      sync.Mutex
+	address string
+	worker  *worker.Worker
+}
+
+func newInstanceWorker(instance lease.Instance) *instanceWorker {
+	w := &instanceWorker{}
+	w.restart(instance)
+	return w
+}
+
+// restart replaces the worker by one of another instance on which nothing runs.
+func (w *instanceWorker) restart(instance lease.Instance) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.worker = worker.New(instance, clock.Now(), 8, func(string) (time.Duration, lease.EndKind) { return time.Minute, lease.Done })
+}
+
+// runs reports whether the worker runs the task.
+func (w *instanceWorker) runs(task string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, ok := w.worker.Running(clock.Now())[task]
+	return ok
+}
+
+func (w *instanceWorker) SetAddress(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.address = address
+}
+
+// call locks the worker and carries the call out, unless the address is another one.
+func (w *instanceWorker) call(number uint64, instance lease.Instance, do func(lease.Instance) lease.Answer) lease.Answer {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.address != workerAddress {
+		return lease.Answer{Call: number, Status: lease.NoAnswer}
+	}
+	if instance.ID == w.worker.Instance.ID {
+		instance = w.worker.Instance
+	}
+	return do(instance)
+}
+
+func (w *instanceWorker) Start(_ context.Context, s lease.Start) lease.Answer {
+	return w.call(s.Call, s.Instance, func(i lease.Instance) lease.Answer {
+		s.Instance = i
+		return w.worker.Start(clock.Now(), s)
+	})
+}
+
+func (w *instanceWorker) Stop(_ context.Context, s lease.Stop) lease.Answer {
+	return w.call(s.Call, s.Instance, func(i lease.Instance) lease.Answer {
+		s.Instance = i
+		return w.worker.Stop(clock.Now(), s)
+	})
+}
+
+func (w *instanceWorker) Hold(_ context.Context, h lease.Hold) lease.Answer {
+	named := h.Instance
+	return w.call(h.Call, h.Instance, func(i lease.Instance) lease.Answer {
+		h.Instance = i
+		a := w.worker.Hold(clock.Now(), h)
+		if a.Status == lease.OK && named != i {
+			return lease.Answer{Call: h.Call, Status: lease.WrongInstance}
+		}
+		return a
+	})
+}
+
+// oddFixture is an agent process with one leased worker.
+type oddFixture struct {
+	c      *qt.C
+	daemon *Daemon
+	worker *instanceWorker
+	number uint64
+}
+
+func newOddFixture(t *testing.T, opts ...Option) *oddFixture {
+	c := qt.New(t)
+	server, err := httpserver.Listen("127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	w := newInstanceWorker(announcementOf(5, 1, false).Instance)
+	epoch := clock.Now()
+	core := agent.New(agent.Config{Worker: "w", Incarnation: 9, ResultKeep: time.Minute, HeartbeatInterval: time.Second, Epoch: epoch})
+	d := New(core, "w", epoch, nil, server, zap.NewNop(), append(opts, WithLeasedWorker(w))...)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = d.Run(ctx, 0) }()
+	c.Cleanup(func() { cancel(); <-done })
+	return &oddFixture{c: c, daemon: d, worker: w}
+}
+
+// announce sends the next announcement of the real worker.
+func (f *oddFixture) announce() {
+	f.number++
+	a := announcementOf(5, f.number, false)
+	a.Instance = f.worker.worker.Instance
+	f.daemon.Announced(a)
+}
+
+// onLoop runs do on the goroutine that owns the cores.
+func (f *oddFixture) onLoop(do func(now time.Time)) {
+	done := make(chan struct{})
+	f.daemon.loop.submit(func(now time.Time) { defer close(done); do(now) })
+	<-done
+}
+
+func (f *oddFixture) hello() (hello msg.Hello) {
+	f.onLoop(func(time.Time) { hello = f.daemon.loop.core.Hello() })
+	return hello
+}
+
+func (f *oddFixture) running() (n int) {
+	f.onLoop(func(time.Time) { n = f.daemon.loop.core.Running() })
+	return n
+}
+
+// inUse reports whether entries may use the worker with the real worker's properties.
+func (f *oddFixture) inUse() bool {
+	h, real := f.hello(), announcementOf(5, 1, false)
+	return !h.Leaving && h.Size == real.Size && h.Service == real.Service && h.Slots == real.Slots
+}
+
+// waitUntilInUse repeats the real announcement until the worker is in use.
+func (f *oddFixture) waitUntilInUse(limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		f.announce()
+		time.Sleep(20 * time.Millisecond)
+		if f.inUse() {
+			return true
+		}
+	}
+	return false
+}
+
+// startTask starts a task of an entry and keeps it running for the duration of the test.
+func (f *oddFixture) startTask(name string) {
+	const entry = 1
+	f.onLoop(func(now time.Time) {
+		core := f.daemon.loop.core
+		core.Step(now, agent.LinkUp{Entry: entry, Name: "e"})
+		core.Step(now, agent.Received{Entry: entry, Message: msg.Dispatch{
+			Attempt: msg.AttemptID{Entry: entry, Job: 1, Attempt: 1}, AgentIncarnation: 9, StartBy: time.Hour, RunLimit: time.Hour,
+			Service: "s", TaskName: name, Size: msg.Size{Cores: 1}, EchoedClock: time.Hour,
+		}})
+	})
+	for end := time.Now().Add(5 * time.Second); !f.worker.runs(name); time.Sleep(time.Millisecond) {
+		f.c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the task was not started"))
+	}
+}
+
+var oddAnnouncements = map[string]func(*WorkerAnnouncement){
+	"start time of -1":             func(a *WorkerAnnouncement) { a.Instance.StartedAtMs, a.Size = -1, msg.Size{} },
+	"largest start time":           func(a *WorkerAnnouncement) { a.Instance.StartedAtMs = math.MaxInt64 },
+	"later start time":             func(a *WorkerAnnouncement) { a.Instance.StartedAtMs = 6 },
+	"other worker, later start":    func(a *WorkerAnnouncement) { a.Instance = lease.Instance{ID: "x", StartedAtMs: 6} },
+	"other worker, other address":  func(a *WorkerAnnouncement) { a.Instance.ID, a.Address = "x", "10.0.0.10:80" },
+	"other address":                func(a *WorkerAnnouncement) { a.Address = "10.0.0.9:99999" },
+	"earlier start, other address": func(a *WorkerAnnouncement) { a.Instance.StartedAtMs, a.Address = 4, "10.0.0.9:81" },
+}
+
+// Guards against an announcement of another writer that takes the real worker out of use
+// for good, whether it comes before the worker's own announcements or in between.
+func TestOddAnnouncementDoesNotLockOutWorker(t *testing.T) {
+	for name, change := range oddAnnouncements {
+		t.Run(name, func(t *testing.T) {
+			odd := announcementOf(5, 1, false)
+			change(&odd)
+			t.Run("first", func(t *testing.T) {
+				t.Parallel()
+				f := newOddFixture(t)
+				f.daemon.Announced(odd)
+				time.Sleep(50 * time.Millisecond)
+				f.c.Check(f.waitUntilInUse(6*time.Second), qt.IsTrue, qt.Commentf("%+v", f.hello()))
+			})
+			t.Run("in between", func(t *testing.T) {
+				t.Parallel()
+				f := newOddFixture(t)
+				f.c.Assert(f.waitUntilInUse(6*time.Second), qt.IsTrue)
+				f.daemon.Announced(odd)
+				time.Sleep(50 * time.Millisecond)
+				f.c.Check(f.waitUntilInUse(6*time.Second), qt.IsTrue, qt.Commentf("%+v", f.hello()))
+			})
+		})
+	}
+}
+
+// Guards against an announcement of another writer that makes the agent report the
+// worker's tasks as ended, or no longer reach them, while they run: an entry would start
+// them elsewhere.
+func TestOddAnnouncementLeavesTasksRunning(t *testing.T) {
+	for name, change := range oddAnnouncements {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newOddFixture(t)
+			f.c.Assert(f.waitUntilInUse(6*time.Second), qt.IsTrue)
+			f.startTask("t")
+			odd := announcementOf(5, 1000, false)
+			change(&odd)
+			f.daemon.Announced(odd)
+			for range 30 {
+				f.c.Assert(f.running(), qt.Equals, 1)
+				f.c.Assert(f.worker.runs("t"), qt.IsTrue)
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// Guards against a worker that starts anew, with another ID or the same one, and is not
+// used again.
+func TestRestartedWorkerIsUsed(t *testing.T) {
+	for name, instance := range map[string]lease.Instance{
+		"other ID": {ID: "j", StartedAtMs: 6}, "same ID": {ID: "i", StartedAtMs: 6}, "earlier time of day": {ID: "j", StartedAtMs: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newOddFixture(t)
+			f.c.Assert(f.waitUntilInUse(6*time.Second), qt.IsTrue)
+			f.startTask("t")
+			f.worker.restart(instance)
+			f.announce()
+			f.c.Check(f.waitUntilInUse(6*time.Second), qt.IsTrue, qt.Commentf("%+v", f.hello()))
+			f.c.Check(f.running(), qt.Equals, 0)
+		})
+	}
+}
--- a/internal/core/lease/io.go
+++ b/internal/core/lease/io.go
@@ -20,7 +20,13 @@
 type Input interface{ input() }
 
 // Announced says that the worker is alive.
-type Announced struct{ Instance Instance }
+type Announced struct {
+	Instance Instance
+	// Replaces means that the caller has found that the worker is no other instance, so
+	// that the start times do not decide: the time of day at the worker may have been set
+	// back.
+	Replaces bool
+}
 
 // RunTask asks for a task to be started. The core answers with one Ended.
 type RunTask struct {
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -168,7 +168,7 @@
 	c.advance(now)
 	switch in := in.(type) {
 	case Announced:
-		c.announced(in.Instance)
+		c.announced(in)
 	case RunTask:
 		c.runTask(in)
 	case StopTask:
@@ -222,16 +222,21 @@
 
 // announced begins to take over a new instance of the worker. A late announcement of
 // an earlier instance changes nothing.
-func (c *Core) announced(instance Instance) {
-	if instance == c.instance || c.phase != absent && instance.StartedAtMs <= c.instance.StartedAtMs {
+func (c *Core) announced(in Announced) {
+	if in.Instance == c.instance || c.phase != absent && !in.Replaces && in.Instance.StartedAtMs <= c.instance.StartedAtMs {
 		return
 	}
 	c.abortAll()
 	fresh := New(c.cfg)
-	fresh.now, fresh.out, fresh.lastCall, fresh.phase, fresh.instance = c.now, c.out, c.lastCall, readingClock, instance
+	fresh.now, fresh.out, fresh.lastCall, fresh.phase, fresh.instance = c.now, c.out, c.lastCall, readingClock, in.Instance
+	// A call to an instance with the same ID may have shown the new one the present token.
+	fresh.fence = c.fence
 	*c = *fresh
 }
 
+// Fence returns the fencing token of the latest calls.
+func (c *Core) Fence() uint64 { return c.fence }
+
 // WorkerLeaving records that the worker is ending, and reports whether that applies
 // to its present instance. The lease is not renewed any more.
 func (c *Core) WorkerLeaving(now time.Time, instance Instance) bool {
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -186,3 +186,27 @@
 	f.core.TakeOutputs()
 	f.c.Assert(f.begin().Fence > first, qt.IsTrue)
 }
+
+// Guards against a worker that restarts under its ID and is never used again: a call to
+// its earlier instance may have reached it, with a token far above its new clock.
+func TestRestartedWorkerKnowsEarlierToken(t *testing.T) {
+	f := newFixture(t)
+	earlier := f.begin().Fence
+	f.step(lease.Announced{Instance: lease.Instance{ID: "i-1", StartedAtMs: 8}})
+	outputs[lease.Hold](f)
+	f.step(lease.Answer{Call: f.hold.Call, Status: lease.Fenced, Clock: time.Millisecond})
+	f.c.Check(onlyOutput[lease.Hold](f).Fence > earlier, qt.IsTrue)
+}
+
+// Guards against a worker that is never used again because it restarted after its time of
+// day was set back, and against a late announcement that is taken for such a restart.
+func TestWorkerRestartedAtEarlierTimeOfDay(t *testing.T) {
+	f := newFixture(t)
+	f.begin()
+	earlier := lease.Instance{ID: "i-2", StartedAtMs: 3}
+	f.step(lease.Announced{Instance: earlier})
+	f.c.Check(outputs[lease.Ended](f), qt.HasLen, 0)
+	f.step(lease.Announced{Instance: earlier, Replaces: true})
+	f.c.Check(onlyOutput[lease.Ended](f), qt.Equals, lease.Ended{Attempt: attempt, Kind: msg.ResultAborted})
+	f.c.Check(f.hold.Instance, qt.Equals, earlier)
+}
