Stop trusting an announcement number that no other follows

What callers saw: none reported it. After one announcement with the largest number the worker's later ones were ignored for the rest of its life: its capacity stayed that of the odd one, and tasks were sent to a worker that had said that it was leaving.

Lower numbers counted as late without a limit of time.

Evidence (before): go test ./internal/agentd -run 'Odd|Leaving': "largest number, no room", first and in between, not in use after 6 s of the worker's own announcements; TestLeavingIsSeenAfterTooLargeNumber.

A lower number counts as late for 3 s after the newest announcement, two intervals of the worker's; the notice that a worker is leaving holds in any order. The driver decides this, so the agent core gets no numbers from a leased worker.

After: all pass; TestLateAnnouncementChangesNothing passes before and after and keeps the order of announcements.

--- a/internal/agentd/instance.go
+++ b/internal/agentd/instance.go
@@ -22,12 +22,18 @@
 	// checkLimit bounds the checks for one announcement. It exceeds the time after which
 	// the tasks of a worker that answers no more have ended.
 	checkLimit = 3 * time.Second
+	// numberTrust is the time after an announcement for which one with a lower number counts
+	// as late. Without a higher one for that long, the number was wrong: workers announce
+	// themselves every 1.5 s.
+	numberTrust = leasedAnnounceTimeout / 2
 )
 
 // instanceCheck is the state of a leasedDriver that decides which announcements are used.
 type instanceCheck struct {
 	// present is the newest announcement in use; it has no ID before the first.
 	present WorkerAnnouncement
+	// presentAt is when that announcement arrived.
+	presentAt time.Time
 	// adoptions counts the instances used so far, and orders them for the agent core. Start
 	// times do not: the worker's time of day may have been set back.
 	adoptions uint64
@@ -44,9 +50,10 @@
 func (d *leasedDriver) applyAnnouncement(now time.Time, a WorkerAnnouncement) {
 	samePlace := a.Instance == d.present.Instance && a.Address == d.present.Address
 	switch {
+	case samePlace && d.late(now, a):
 	case samePlace:
 		a.Leaving = a.Leaving || d.present.Leaving
-		d.present = a
+		d.present, d.presentAt = a, now
 		d.pass(now)
 	case !d.answered:
 		d.adopt(now, a)
@@ -60,10 +67,16 @@
 	}
 }
 
+// late reports whether a newer announcement of the instance is in use. The notice that the
+// worker is leaving holds in any order.
+func (d *leasedDriver) late(now time.Time, a WorkerAnnouncement) bool {
+	return a.Number <= d.present.Number && (!a.Leaving || d.present.Leaving) && now.Sub(d.presentAt) < numberTrust
+}
+
 // adopt begins to use another instance. No task starts before the worker has answered as
 // that instance.
 func (d *leasedDriver) adopt(now time.Time, a WorkerAnnouncement) {
-	d.present, d.answered, d.rival = a, false, nil
+	d.present, d.presentAt, d.answered, d.rival = a, now, false, nil
 	d.adoptions++
 	d.worker.SetAddress(a.Address)
 	d.core.Step(now, lease.Announced{Instance: a.Instance, Replaces: true})
@@ -82,7 +95,7 @@
 	}
 	d.loop.core.Step(now, agent.EndpointAnnounced{
 		Service: a.Service, Slots: a.Slots, Connections: a.Slots, Size: a.Size, Labels: a.Labels, Leased: true,
-		Join: d.adoptions, Number: a.Number, Leaving: a.Leaving,
+		Join: d.adoptions, Leaving: a.Leaving,
 	})
 }
 
--- a/internal/agentd/odd_announcement_test.go
+++ b/internal/agentd/odd_announcement_test.go
@@ -177,13 +177,15 @@
 }
 
 var oddAnnouncements = map[string]func(*WorkerAnnouncement){
-	"start time of -1":             func(a *WorkerAnnouncement) { a.Instance.StartedAtMs, a.Size = -1, msg.Size{} },
-	"largest start time":           func(a *WorkerAnnouncement) { a.Instance.StartedAtMs = math.MaxInt64 },
-	"later start time":             func(a *WorkerAnnouncement) { a.Instance.StartedAtMs = 6 },
-	"other worker, later start":    func(a *WorkerAnnouncement) { a.Instance = lease.Instance{ID: "x", StartedAtMs: 6} },
-	"other worker, other address":  func(a *WorkerAnnouncement) { a.Instance.ID, a.Address = "x", "10.0.0.10:80" },
-	"other address":                func(a *WorkerAnnouncement) { a.Address = "10.0.0.9:99999" },
-	"earlier start, other address": func(a *WorkerAnnouncement) { a.Instance.StartedAtMs, a.Address = 4, "10.0.0.9:81" },
+	"start time of -1":              func(a *WorkerAnnouncement) { a.Instance.StartedAtMs, a.Size = -1, msg.Size{} },
+	"largest start time":            func(a *WorkerAnnouncement) { a.Instance.StartedAtMs = math.MaxInt64 },
+	"later start time":              func(a *WorkerAnnouncement) { a.Instance.StartedAtMs = 6 },
+	"other worker, later start":     func(a *WorkerAnnouncement) { a.Instance = lease.Instance{ID: "x", StartedAtMs: 6} },
+	"other worker, other address":   func(a *WorkerAnnouncement) { a.Instance.ID, a.Address = "x", "10.0.0.10:80" },
+	"other address":                 func(a *WorkerAnnouncement) { a.Address = "10.0.0.9:99999" },
+	"largest number, no room":       func(a *WorkerAnnouncement) { a.Number, a.Size = math.MaxUint64, msg.Size{} },
+	"largest number, other address": func(a *WorkerAnnouncement) { a.Number, a.Address = math.MaxUint64, "10.0.0.9:81" },
+	"earlier start, other address":  func(a *WorkerAnnouncement) { a.Instance.StartedAtMs, a.Address = 4, "10.0.0.9:81" },
 }
 
 // Guards against an announcement of another writer that takes the real worker out of use
@@ -252,3 +254,27 @@
 		})
 	}
 }
+
+// Guards against a worker that leaves and goes on getting tasks because an earlier
+// announcement had a number above all that follow.
+func TestLeavingIsSeenAfterTooLargeNumber(t *testing.T) {
+	f := newOddFixture(t)
+	f.c.Assert(f.waitUntilInUse(6*time.Second), qt.IsTrue)
+	f.daemon.Announced(announcementOf(5, math.MaxUint64, false))
+	f.daemon.Announced(announcementOf(5, f.number+1, true))
+	f.c.Check(f.hello().Leaving, qt.IsTrue)
+}
+
+// Guards against a late announcement that takes back what a newer one said.
+func TestLateAnnouncementChangesNothing(t *testing.T) {
+	f := newOddFixture(t)
+	f.c.Assert(f.waitUntilInUse(6*time.Second), qt.IsTrue)
+	newest := announcementOf(5, 100, false)
+	newest.Size.Cores = 8
+	f.daemon.Announced(newest)
+	f.daemon.Announced(announcementOf(5, 99, false))
+	f.c.Check(f.hello().Size, qt.Equals, newest.Size)
+	f.daemon.Announced(announcementOf(5, 98, true))
+	f.daemon.Announced(announcementOf(5, 101, false))
+	f.c.Check(f.hello().Leaving, qt.IsTrue)
+}
