Check the worker's record and replace one that misleads

What callers saw: none reported it. A record in the store that another writer left, with a start time far ahead, a port of 99999 or another service, was believed at every start of the agent, and one with a start time far ahead was never replaced. The worker stayed out of use, or ran tasks of the other service until its next heartbeat.

The record was decoded without a check, and the newest start time won, in the store as in the process.

Evidence (before): go test ./internal/agentd -run 'OddRecord|RecordOfOtherService'.

A record is validated like a heartbeat and has to be of the agent's service, else it counts as empty (worker_record_failed). Only an instance as which the worker has answered is recorded. A record of another instance that lay there when the process started is replaced whatever its start time; one written since keeps the order, so that a process that was paused replaces nothing.

After: all pass, TestLeavingWorkerIsNotRecalled unchanged. FuzzWorkerRecord ran 8 s without a finding.

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -58,7 +58,7 @@
 	if d.opts.leased != nil {
 		d.tracker.timeout = leasedAnnounceTimeout
 		if d.opts.recordStore != nil {
-			d.record = newRecordKeeper(d.opts.recordStore, worker, log)
+			d.record = newRecordKeeper(d.opts.recordStore, worker, d.opts.recordService, log)
 		}
 		d.loop.leased = &leasedDriver{
 			loop: d.loop, core: lease.New(lease.Config{}), worker: d.opts.leased, tracker: d.tracker, record: d.record,
--- a/internal/agentd/options.go
+++ b/internal/agentd/options.go
@@ -19,8 +19,10 @@
 	clientTLS  *tls.Config
 	leased     LeasedWorker
 	directory  Directory
-	// recordStore is nil unless the worker's announcement is kept in the store.
-	recordStore store.Store
+	// recordStore is nil unless the worker's announcement is kept in the store, and
+	// recordService the service that the worker belongs to.
+	recordStore   store.Store
+	recordService string
 }
 
 func newOptions(opts []Option) options {
@@ -58,8 +60,11 @@
 func WithLeasedWorker(w LeasedWorker) Option { return func(o *options) { o.leased = w } }
 
 // WithWorkerRecord makes the agent keep the latest announcement of its leased worker in
-// the store, so that its successor can call the worker at once.
-func WithWorkerRecord(s store.Store) Option { return func(o *options) { o.recordStore = s } }
+// the store, so that its successor can call the worker at once. A record of another
+// service than the given one is not used.
+func WithWorkerRecord(s store.Store, service string) Option {
+	return func(o *options) { o.recordStore, o.recordService = s, service }
+}
 
 // WithMetrics makes the agent record metrics in m and export them on /metrics.
 func WithMetrics(m *telemetry.Metrics) Option { return func(o *options) { o.metrics = m } }
--- a/internal/agentd/worker_record.go
+++ b/internal/agentd/worker_record.go
@@ -37,23 +37,29 @@
 type recordKeeper struct {
 	store store.Store
 	key   string
-	log   *zap.Logger
+	// service is the service that the worker has to belong to.
+	service string
+	log     *zap.Logger
 
 	mu sync.Mutex
 	// wanted is the announcement to be stored; its zero value stands for none.
-	wanted  WorkerAnnouncement
-	changed chan struct{}
+	wanted WorkerAnnouncement
+	// versionAtStart is the version of the record that read found. The worker has since
+	// answered as the wanted instance, so no start time in that record makes it newer.
+	versionAtStart uint64
+	changed        chan struct{}
 }
 
-func newRecordKeeper(s store.Store, worker string, log *zap.Logger) *recordKeeper {
-	return &recordKeeper{store: s, key: workersPrefix + worker, log: log, changed: make(chan struct{}, 1)}
+func newRecordKeeper(s store.Store, worker, service string, log *zap.Logger) *recordKeeper {
+	return &recordKeeper{store: s, key: workersPrefix + worker, service: service, log: log, changed: make(chan struct{}, 1)}
 }
 
-// announced stores the announcement if it says more than the one before.
+// announced stores the announcement of an instance as which the worker has answered, if it
+// says more than the one before.
 func (k *recordKeeper) announced(a WorkerAnnouncement) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if a.sameRecord(k.wanted) || !a.replaces(k.wanted) {
+	if a.sameRecord(k.wanted) || a.Instance == k.wanted.Instance && !a.replaces(k.wanted) {
 		return
 	}
 	k.wanted = a
@@ -74,7 +80,7 @@
 	if a.Instance.StartedAtMs != o.Instance.StartedAtMs {
 		return a.Instance.StartedAtMs > o.Instance.StartedAtMs
 	}
-	return a.Leaving || !o.Leaving && a.Number >= o.Number
+	return a.Leaving || !o.Leaving
 }
 
 // left records that the worker's present instance is leaving.
@@ -90,18 +96,21 @@
 
 // read returns the stored announcement and whether there is one that can be used.
 func (k *recordKeeper) read(ctx context.Context) (WorkerAnnouncement, bool) {
-	a, _, err := k.get(ctx)
+	a, version, err := k.get(ctx)
 	if err != nil {
 		if !store.IsNotFound(err) {
 			logevent.WorkerRecordFailed.Log(k.log, zap.String("key", k.key), zap.Error(err))
 		}
 		return a, false
 	}
+	k.mu.Lock()
+	k.versionAtStart = version
+	k.mu.Unlock()
 	return a, a.Address != "" && !a.Leaving
 }
 
-// get returns the stored announcement, which is empty if it cannot be decoded, and the
-// key's version.
+// get returns the stored announcement, which is empty if it is malformed or names another
+// service, and the key's version.
 func (k *recordKeeper) get(ctx context.Context) (WorkerAnnouncement, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
@@ -109,14 +118,28 @@
 	if err != nil {
 		return WorkerAnnouncement{}, 0, err
 	}
-	var a WorkerAnnouncement
-	if err := json.Unmarshal(e.Value, &a); err != nil {
+	a, err := k.decode(e.Value)
+	if err != nil {
 		logevent.WorkerRecordFailed.Log(k.log, zap.String("key", k.key), zap.Error(err))
-		return WorkerAnnouncement{}, e.Version, nil
 	}
 	return a, e.Version, nil
 }
 
+// decode returns the announcement in a record, or an empty one and an error.
+func (k *recordKeeper) decode(value []byte) (WorkerAnnouncement, error) {
+	var a WorkerAnnouncement
+	if err := json.Unmarshal(value, &a); err != nil {
+		return WorkerAnnouncement{}, errMalformedAnnouncement.Wrap(err, "the record cannot be decoded")
+	}
+	if err := a.Validate(); err != nil {
+		return WorkerAnnouncement{}, err
+	}
+	if a.Service != k.service {
+		return WorkerAnnouncement{}, errMalformedAnnouncement.New("the record is of service %q", a.Service)
+	}
+	return a, nil
+}
+
 // run writes changed announcements until ctx ends.
 func (k *recordKeeper) run(ctx context.Context) {
 	for {
@@ -137,16 +160,17 @@
 }
 
 // write stores the wanted announcement unless the store has a newer one: another agent
-// process of the worker may have written it.
+// process of the worker may have written it since this one started.
 func (k *recordKeeper) write(ctx context.Context) error {
 	k.mu.Lock()
-	wanted := k.wanted
+	wanted, versionAtStart := k.wanted, k.versionAtStart
 	k.mu.Unlock()
 	stored, version, err := k.get(ctx)
 	if err != nil && !store.IsNotFound(err) {
 		return err
 	}
-	if wanted.sameRecord(stored) || !wanted.replaces(stored) {
+	outdated := stored.Instance != wanted.Instance && version == versionAtStart
+	if wanted.sameRecord(stored) || !outdated && !wanted.replaces(stored) {
 		return nil
 	}
 	value, err := json.Marshal(wanted)
--- a/internal/agentd/worker_record_test.go
+++ b/internal/agentd/worker_record_test.go
@@ -38,7 +38,7 @@
 // keepers returns the record keepers of two successive agent processes of one worker.
 func keepers() (*recordKeeper, *recordKeeper) {
 	s := fakestore.New(fakestore.Rates{Reads: 1000, Writes: 1000})
-	return newRecordKeeper(s, "w", zap.NewNop()), newRecordKeeper(s, "w", zap.NewNop())
+	return newRecordKeeper(s, "w", "s", zap.NewNop()), newRecordKeeper(s, "w", "s", zap.NewNop())
 }
 
 // Guards against a successor that does not find the worker or finds another state of it.
--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -125,7 +125,7 @@
 		agentd.WithLinks(s.Links), agentd.WithFailureDomain(s.FailureDomain), agentd.WithReadyDelay(s.ReadyDelay.Duration), agentd.WithMetrics(m), agentd.WithClientTLS(t.Client),
 	}
 	if client := storeClient(s.Store); client != nil {
-		options = append(options, agentd.WithDirectory(agentd.StoreDirectory(client, entryd.EntriesPrefix)), agentd.WithWorkerRecord(client))
+		options = append(options, agentd.WithDirectory(agentd.StoreDirectory(client, entryd.EntriesPrefix)), agentd.WithWorkerRecord(client, s.Platform.Service))
 	}
 	if s.Platform.Service == "" {
 		return agentd.New(core, s.Worker, time.Time(clockEpoch), s.Entries, server, log, options...)
