Announce no more slots to entries than a link can tell

What callers saw: none reported it. After a heartbeat with 9,000,000,000,000 slots, or a negative number before, every entry refused the agent's Hello as malformed, closed the link and refused it again at each dial, until another heartbeat came.

The count was cut to 32 bits on the link (here to 2,043,514,880) and is then above the largest that an entry accepts.

Evidence (before): go test ./internal/agentd -run Odd: TestOddAnnouncementLeavesHelloDecodable, "slots beyond 32 bits".

The agent announces at most linkpb.MaxSlots; the room of a leased worker is in its size, so no room is lost. The protocol gives no largest count, so such a heartbeat is not refused.

After: it passes; 200,000 labels do so before and after.

--- a/internal/agentd/instance.go
+++ b/internal/agentd/instance.go
@@ -6,6 +6,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/agent"
 	"github.com/poplarlever/poplarlever/internal/core/lease"
+	"github.com/poplarlever/poplarlever/internal/linkpb"
 )
 
 // An announcement proves nothing: it may come from another writer, late, or from a sender
@@ -93,8 +94,11 @@
 	if d.answered && d.record != nil {
 		d.record.announced(a)
 	}
+	// A leased worker is used by its room. More slots than a link can tell would make every
+	// entry refuse the agent.
+	slots := min(a.Slots, linkpb.MaxSlots)
 	d.loop.core.Step(now, agent.EndpointAnnounced{
-		Service: a.Service, Slots: a.Slots, Connections: a.Slots, Size: a.Size, Labels: a.Labels, Leased: true,
+		Service: a.Service, Slots: slots, Connections: slots, Size: a.Size, Labels: a.Labels, Leased: true,
 		Join: d.adoptions, Leaving: a.Leaving,
 	})
 }
--- a/internal/agentd/odd_announcement_test.go
+++ b/internal/agentd/odd_announcement_test.go
@@ -16,6 +16,7 @@
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/fake/worker"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
+	"github.com/poplarlever/poplarlever/internal/linkpb"
 )
 
 const workerAddress = "10.0.0.9:80"
@@ -183,11 +184,21 @@
 	"other worker, later start":     func(a *WorkerAnnouncement) { a.Instance = lease.Instance{ID: "x", StartedAtMs: 6} },
 	"other worker, other address":   func(a *WorkerAnnouncement) { a.Instance.ID, a.Address = "x", "10.0.0.10:80" },
 	"other address":                 func(a *WorkerAnnouncement) { a.Address = "10.0.0.9:99999" },
+	"slots beyond 32 bits":          func(a *WorkerAnnouncement) { a.Slots = 9_000_000_000_000 },
+	"many labels":                   func(a *WorkerAnnouncement) { a.Labels = manyLabels() },
 	"largest number, no room":       func(a *WorkerAnnouncement) { a.Number, a.Size = math.MaxUint64, msg.Size{} },
 	"largest number, other address": func(a *WorkerAnnouncement) { a.Number, a.Address = math.MaxUint64, "10.0.0.9:81" },
 	"earlier start, other address":  func(a *WorkerAnnouncement) { a.Instance.StartedAtMs, a.Address = 4, "10.0.0.9:81" },
 }
 
+func manyLabels() []string {
+	labels := make([]string, 200_000)
+	for i := range labels {
+		labels[i] = "label"
+	}
+	return labels
+}
+
 // Guards against an announcement of another writer that takes the real worker out of use
 // for good, whether it comes before the worker's own announcements or in between.
 func TestOddAnnouncementDoesNotLockOutWorker(t *testing.T) {
@@ -236,6 +247,22 @@
 	}
 }
 
+// Guards against a message that no entry can decode: every entry would close its link to
+// the agent, and again whenever the agent links.
+func TestOddAnnouncementLeavesHelloDecodable(t *testing.T) {
+	for name, change := range oddAnnouncements {
+		t.Run(name, func(t *testing.T) {
+			f := newOddFixture(t)
+			odd := announcementOf(5, 1, false)
+			change(&odd)
+			f.daemon.Announced(odd)
+			time.Sleep(20 * time.Millisecond)
+			_, err := linkpb.DecodeFromAgent(linkpb.EncodeFromAgent(f.hello()))
+			f.c.Check(err, qt.IsNil)
+		})
+	}
+}
+
 // Guards against a worker that starts anew, with another ID or the same one, and is not
 // used again.
 func TestRestartedWorkerIsUsed(t *testing.T) {
--- a/internal/linkpb/agent.go
+++ b/internal/linkpb/agent.go
@@ -78,15 +78,15 @@
 	}
 }
 
-// maxSlots bounds the slots that a worker may announce, so that a corrupt Hello
+// MaxSlots bounds the slots that a worker may announce, so that a corrupt Hello
 // cannot attract unlimited work.
-const maxSlots = 1 << 16
+const MaxSlots = 1 << 16
 
 func decodeHello(h *pb.Hello) (msg.FromAgent, error) {
 	if h.GetWorker() == "" || h.GetIncarnation() == 0 {
 		return nil, ErrMalformed.New("hello without worker or incarnation")
 	}
-	if h.GetSlots() > maxSlots || h.GetReport().GetFree() > h.GetSlots() {
+	if h.GetSlots() > MaxSlots || h.GetReport().GetFree() > h.GetSlots() {
 		return nil, ErrMalformed.New("hello from worker %q announces %d slots, %d free", h.GetWorker(), h.GetSlots(), h.GetReport().GetFree())
 	}
 	return msg.Hello{
@@ -146,11 +146,11 @@
 	return p
 }
 
-// decodeSlots caps the counts at maxSlots, so that a corrupt report cannot attract
+// decodeSlots caps the counts at MaxSlots, so that a corrupt report cannot attract
 // unlimited work.
 func decodeSlots(p *pb.SlotReport) msg.Slots {
 	return msg.Slots{
-		Free: int(min(p.GetFree(), maxSlots)), Spare: int(min(p.GetSpare(), maxSlots)),
+		Free: int(min(p.GetFree(), MaxSlots)), Spare: int(min(p.GetSpare(), MaxSlots)),
 		Covers: p.GetCovers(), Number: p.GetNumber(), Outcomes: health.Outcomes{Ended: p.GetEndedTasks(), Failed: p.GetFailedTasks()},
 		Room: DecodeSize(p.GetRoom()),
 	}
