Skip odd entries in the list, and end only for one that answers

What callers saw: the operators of another system saw processes that end by themselves, again and again, after one odd value in a list that they read. Here one value below poplarlever/entries/ with the name of an entry and an earlier start, or none, ended that entry 15 s after each start as a duplicate. {} and null were listed as an entry without a name and address, which other entries called and agents dialled, and a port of 99999 was dialled like any other. Nested or malformed values were skipped before.

A value counted as an entry once it decoded into the type, without a look at its fields or its key, and a listed process as alive.

Change. membership.Decode checks the fields and that the key is the member's own; entries and agents use it, and entries check what others pass on. entry_malformed (2125) names the key once a version. An entry ends only for an older process that has answered it, and asks it once a second; TestLiveOlderProcessEndsTheYounger shows that it still does. Test entries got addresses with a port.

Open: a well-formed value with the name of an entry and a later start still takes its place in the lists that entries send; agents find the entry in the store's list.

--- a/internal/agentd/directory.go
+++ b/internal/agentd/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"time"
 
@@ -32,7 +31,7 @@
 type Directory func(ctx context.Context) ([]msg.Peer, error)
 
 // StoreDirectory returns a Directory that reads the keys below the prefix. It skips
-// values that are not valid registrations.
+// values that are not valid registrations; entries log them.
 func StoreDirectory(s store.Store, prefix string) Directory {
 	return func(ctx context.Context) ([]msg.Peer, error) {
 		listing, err := s.List(ctx, prefix)
@@ -41,8 +40,7 @@
 		}
 		var peers []msg.Peer
 		for _, e := range listing.Entries {
-			var m membership.Member
-			if json.Unmarshal(e.Value, &m) == nil && m.Address != "" {
+			if m, err := membership.Decode(prefix, e); err == nil {
 				peers = append(peers, msg.Peer{Name: m.Name, Address: m.Address, FailureDomain: m.FailureDomain})
 			}
 		}
--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -12,6 +13,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/agent"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/hostport"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/linkpb"
 	"github.com/poplarlever/poplarlever/internal/logevent"
@@ -162,7 +164,7 @@
 	})
 	k.selector.linkUp(k.address, welcome.Incarnation)
 	defer k.selector.linkDown(k.address, welcome.Incarnation)
-	k.selector.setReported(k.address, welcome.Peers)
+	k.selector.setReported(k.address, reachable(welcome.Peers))
 	k.handleMessages(welcome.Incarnation, rest)
 	logevent.EntryLinked.Log(k.log, zap.String("entry", welcome.Entry), zap.String("address", k.address))
 	go k.sendAll(ctx, cancel, box, stream)
@@ -235,12 +237,18 @@
 	}
 }
 
+// reachable returns the entries whose address can be dialled. An entry may pass on what
+// another writer has left in the store.
+func reachable(peers []msg.Peer) []msg.Peer {
+	return slices.DeleteFunc(slices.Clone(peers), func(e msg.Peer) bool { return hostport.Check(e.Address) != nil })
+}
+
 // handleMessages passes lists of entries to the selector and all other messages to the
 // core.
 func (k *linker) handleMessages(entry msg.Incarnation, messages []msg.FromEntry) {
 	for _, m := range messages {
 		if w, ok := m.(msg.Welcome); ok {
-			k.selector.setReported(k.address, w.Peers)
+			k.selector.setReported(k.address, reachable(w.Peers))
 			continue
 		}
 		k.loop.submitInput(agent.Received{Entry: entry, Message: m})
--- a/internal/entryd/duplicate.go
+++ b/internal/entryd/duplicate.go
@@ -1,6 +1,7 @@
 package entryd
 
 import (
+	"context"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -19,13 +20,25 @@
 // processes report the duplicate.
 const duplicateStopWindow = time.Minute
 
+// olderAskInterval is the shortest time between two questions to an older process of the
+// same name.
+const olderAskInterval = time.Second
+
 // reportOlderDuplicate passes an older process of the same name to the daemon, which
-// stops. p.mu must be held.
+// stops. The process has to have answered: a value in the store may come from another
+// writer, and would end this process at each start. p.mu must be held.
 func (p *Platform) reportOlderDuplicate(now time.Time) {
 	older, found := p.members.Elder(now)
 	if !found || now.Sub(p.cfg.Self.Started) >= duplicateStopWindow {
 		return
 	}
+	if !p.members.Contacted(now, older) {
+		if now.Sub(p.olderAskedAt) >= olderAskInterval {
+			p.olderAskedAt = now
+			go p.exchangeWith(context.Background(), older.Address, false)
+		}
+		return
+	}
 	select {
 	case p.olderDuplicate <- older:
 	default:
--- a/internal/entryd/exchange.go
+++ b/internal/entryd/exchange.go
@@ -177,7 +177,9 @@
 func (p *Platform) recordExchange(address string, m exchangeMessage) {
 	p.mu.Lock()
 	now := time.Now()
-	p.members.Contact(now, decodeMember(m.GetSelf()))
+	if self := decodeMember(m.GetSelf()); self.Validate() == nil {
+		p.members.Contact(now, self)
+	}
 	if entries := m.GetEntries(); len(entries) > 0 {
 		p.members.Mention(now, decodeMembers(entries))
 	}
@@ -227,10 +229,14 @@
 	return out
 }
 
+// decodeMembers skips members that no entry can be: another entry may pass on what it
+// found in the store.
 func decodeMembers(entries []*pb.PeerEntry) []membership.Member {
-	out := make([]membership.Member, len(entries))
-	for i, e := range entries {
-		out[i] = decodeMember(e)
+	out := make([]membership.Member, 0, len(entries))
+	for _, e := range entries {
+		if m := decodeMember(e); m.Validate() == nil {
+			out = append(out, m)
+		}
 	}
 	return out
 }
--- a/internal/entryd/platform.go
+++ b/internal/entryd/platform.go
@@ -88,6 +88,10 @@
 	// revisions holds the revision that each address reported last.
 	revisions  map[string]uint64
 	duplicates []string
+	// malformed holds the versions of the keys among the entries that cannot be used.
+	malformed map[string]uint64
+	// olderAskedAt is when an older process of this name was last asked for an answer.
+	olderAskedAt time.Time
 	// undecodableVersion is the store version of the last table that could not be
 	// decoded.
 	undecodableVersion uint64
--- a/internal/entryd/platform_test.go
+++ b/internal/entryd/platform_test.go
@@ -83,7 +83,7 @@
 func (c *cluster) startWith(s store.Store, name string, incarnation uint64, seeds ...string) *testEntry {
 	ctx, stop := context.WithCancel(c.t.Context())
 	e := &testEntry{stop: stop}
-	address := fmt.Sprintf("%s.%d", name, incarnation)
+	address := fmt.Sprintf("%s.%d:7000", name, incarnation)
 	e.Platform = NewPlatform(PlatformConfig{
 		Store: s, Seeds: seeds, Log: zap.NewNop(),
 		Self: membership.Member{Name: name, Address: address, FailureDomain: "a", Incarnation: incarnation, Started: time.Now()},
@@ -147,7 +147,7 @@
 }
 
 // unresponsiveAddress is the address of a VM without power, which answers nothing.
-const unresponsiveAddress = "dark.1"
+const unresponsiveAddress = "dark.1:7000"
 
 // Guards against an entry that has no table for a second after a power loss of all VMs,
 // because it waits for entries that are not back yet.
@@ -188,7 +188,7 @@
 		first := c.start("entry-0", 1)
 		var cutOff []*testEntry
 		for i := range 3 {
-			cutOff = append(cutOff, c.startWith(nil, fmt.Sprintf("cut-off-%d", i), 1, "entry-0.1"))
+			cutOff = append(cutOff, c.startWith(nil, fmt.Sprintf("cut-off-%d", i), 1, "entry-0.1:7000"))
 		}
 		time.Sleep(5 * time.Second)
 		for i := range 5 {
@@ -223,8 +223,8 @@
 		first := c.start("entry-0", 1)
 		time.Sleep(time.Second)
 		c.store.SetFaults(fake.Faults{Down: true})
-		second := c.start("entry-1", 1, "entry-0.1")
-		third := c.start("entry-2", 1, "entry-1.1")
+		second := c.start("entry-1", 1, "entry-0.1:7000")
+		third := c.start("entry-2", 1, "entry-1.1:7000")
 		alone := c.start("entry-3", 1)
 		time.Sleep(inForceLimit)
 		c.expectRevision(want, first, second, third)
@@ -303,7 +303,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, listing.Entries, qt.HasLen, 3)
 		all[2].stop()
-		c.set("entry-2.1", nil)
+		c.set("entry-2.1:7000", nil)
 		time.Sleep(membership.ContactTTL + 5*time.Second)
 		qt.Assert(t, all[0].Peers(), qt.HasLen, 1)
 	})
@@ -364,7 +364,7 @@
 		want := c.put(1)
 		time.Sleep(time.Second)
 		c.store.SetFaults(fake.Faults{Delay: 20 * time.Second})
-		second := c.start("entry-1", 1, "entry-0.1")
+		second := c.start("entry-1", 1, "entry-0.1:7000")
 		time.Sleep(inForceLimit)
 		c.expectRevision(want, first, second)
 		c.store.SetFaults(fake.Faults{})
@@ -394,7 +394,7 @@
 		old := c.start("entry-0", 1)
 		time.Sleep(5 * time.Second)
 		old.stop()
-		c.set("entry-0.1", nil)
+		c.set("entry-0.1:7000", nil)
 		c.start("entry-0", 2)
 		for range 60 {
 			time.Sleep(time.Second)
@@ -423,7 +423,7 @@
 		c := newCluster(t)
 		all := c.startAll(1)
 		for i := range cutOffs {
-			all = append(all, c.startWith(nil, fmt.Sprintf("cut-off-%d", i), 1, "entry-0.1"))
+			all = append(all, c.startWith(nil, fmt.Sprintf("cut-off-%d", i), 1, "entry-0.1:7000"))
 		}
 		time.Sleep(10 * time.Second)
 		for i := range 5 {
@@ -450,7 +450,7 @@
 		c.startAll(entries)
 		time.Sleep(5 * time.Second)
 		for i := range entries {
-			c.set(fmt.Sprintf("entry-%d.1", i), nil)
+			c.set(fmt.Sprintf("entry-%d.1:7000", i), nil)
 		}
 		c.exchanges.Store(0)
 		var again []*testEntry
--- a/internal/entryd/register.go
+++ b/internal/entryd/register.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -27,11 +26,8 @@
 	unregisterTimeout = time.Second
 )
 
-// memberKey returns the store key of the process. It contains the incarnation, so that
-// two processes with one name do not overwrite each other.
-func memberKey(m membership.Member) string {
-	return fmt.Sprintf("%s%s/%016x", EntriesPrefix, m.Name, m.Incarnation)
-}
+// memberKey returns the store key of the process.
+func memberKey(m membership.Member) string { return membership.Key(EntriesPrefix, m) }
 
 // registerLoop keeps the entry registered in the store until ctx ends.
 func (p *Platform) registerLoop(ctx context.Context) {
--- a/internal/entryd/storewatch.go
+++ b/internal/entryd/storewatch.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/poplarlever/poplarlever/internal/clock"
+	"github.com/poplarlever/poplarlever/internal/logevent"
 	"github.com/poplarlever/poplarlever/internal/membership"
 	"github.com/poplarlever/poplarlever/internal/store"
 	"github.com/poplarlever/poplarlever/internal/tablestore"
@@ -151,15 +153,25 @@
 	return content, err == nil
 }
 
-// listedMembers returns the entries in the mirror. It skips those that cannot be
-// decoded. p.mu must be held.
+// listedMembers returns the entries in the mirror. It skips those that cannot be used and
+// logs each version of them once. p.mu must be held.
 func (p *Platform) listedMembers() []membership.Member {
 	var members []membership.Member
+	malformed := make(map[string]uint64)
 	p.mirror.Entries(func(e store.Entry) {
-		var m membership.Member
-		if strings.HasPrefix(e.Key, EntriesPrefix) && json.Unmarshal(e.Value, &m) == nil {
+		if !strings.HasPrefix(e.Key, EntriesPrefix) {
+			return
+		}
+		m, err := membership.Decode(EntriesPrefix, e)
+		if err == nil {
 			members = append(members, m)
+			return
+		}
+		malformed[e.Key] = e.Version
+		if p.malformed[e.Key] != e.Version {
+			logevent.EntryMalformed.Log(p.cfg.Log, zap.String("key", e.Key), zap.Error(err))
 		}
 	})
+	p.malformed = malformed
 	return members
 }
--- a/internal/logevent/configuration.go
+++ b/internal/logevent/configuration.go
@@ -12,5 +12,6 @@
 	EntryRegistered  = define(2121, "entry_registered", zap.InfoLevel, "the entry is registered in the store")
 	EntryLeaseLapsed = define(2122, "entry_lease_lapsed", zap.WarnLevel, "the entry's lease expired; the entry registers again")
 	EntryDuplicate   = define(2123, "entry_duplicate", zap.ErrorLevel, "two live processes use the same entry name")
+	EntryMalformed   = define(2125, "entry_malformed", zap.WarnLevel, "a value among the entries in the store cannot be used; it is skipped")
 	EntryListChanged = define(2124, "entry_list_changed", zap.InfoLevel, "the list of entries changed")
 )
--- a/internal/membership/older_process.go
+++ b/internal/membership/older_process.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// Contacted reports whether messages were exchanged with the process within LeaseTTL.
+func (l *List) Contacted(now time.Time, m Member) bool {
+	r := l.records[memberKey{m.Name, m.Incarnation}]
+	return r != nil && now.Sub(r.lastContact) < LeaseTTL
+}
+
 // Elder returns a live process that has this process's name and started earlier.
 func (l *List) Elder(now time.Time) (Member, bool) {
 	for _, r := range l.records {
