Refuse amounts and kinds on links that mean something else

What callers saw: none reported it. Cores that are not a number, infinite or below zero passed in a size or a report of room. A result of kind 257 or -255 was taken for a success and such a state for "never starts", a release time below zero turned a leased worker into one with slots.

Kinds were cut to 8 bits before they were checked; amounts were checked when a caller sends them, not on links.

The decoders refuse them as malformed, which closes that link alone.

--- a/internal/linkpb/agent.go
+++ b/internal/linkpb/agent.go
@@ -4,6 +4,7 @@
 package linkpb
 
 import (
+	"math"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -46,6 +47,9 @@
 
 // DecodeFromAgent returns the decoded message, or ErrMalformed.
 func DecodeFromAgent(p *pb.AgentMessage) (msg.FromAgent, error) {
+	if err := checkSize(reportOf(p).GetRoom()); err != nil {
+		return nil, err
+	}
 	switch m := p.GetMessage().(type) {
 	case *pb.AgentMessage_Hello:
 		return decodeHello(m.Hello)
@@ -69,6 +73,33 @@
 	return nil, ErrMalformed.New("agent message of unknown kind")
 }
 
+// reportOf returns the message's slot report, or nil.
+func reportOf(p *pb.AgentMessage) *pb.SlotReport {
+	switch m := p.GetMessage().(type) {
+	case *pb.AgentMessage_Hello:
+		return m.Hello.GetReport()
+	case *pb.AgentMessage_Refused:
+		return m.Refused.GetReport()
+	case *pb.AgentMessage_Result:
+		return m.Result.GetReport()
+	case *pb.AgentMessage_Heartbeat:
+		return m.Heartbeat.GetReport()
+	case *pb.AgentMessage_Leaving:
+		return m.Leaving.GetReport()
+	case *pb.AgentMessage_SlotsFree:
+		return m.SlotsFree.GetReport()
+	}
+	return nil
+}
+
+// checkSize returns ErrMalformed for an amount that would spoil a sum.
+func checkSize(p *pb.Size) error {
+	if cores := p.GetCores(); !(cores >= 0) || math.IsInf(cores, 1) {
+		return ErrMalformed.New("an amount of %v cores", cores)
+	}
+	return nil
+}
+
 func encodeHello(m msg.Hello) *pb.Hello {
 	return &pb.Hello{
 		Worker: m.Worker, FailureDomain: m.FailureDomain, Incarnation: uint64(m.Incarnation),
@@ -89,6 +120,12 @@
 	if h.GetSlots() > MaxSlots || h.GetReport().GetFree() > h.GetSlots() {
 		return nil, ErrMalformed.New("hello from worker %q announces %d slots, %d free", h.GetWorker(), h.GetSlots(), h.GetReport().GetFree())
 	}
+	if h.GetReleaseAfterNs() < 0 {
+		return nil, ErrMalformed.New("hello from worker %q names a release time of %d ns", h.GetWorker(), h.GetReleaseAfterNs())
+	}
+	if err := checkSize(h.GetSize()); err != nil {
+		return nil, err
+	}
 	return msg.Hello{
 		Worker: h.GetWorker(), FailureDomain: h.GetFailureDomain(),
 		Incarnation: msg.Incarnation(h.GetIncarnation()), Service: h.GetService(),
@@ -99,12 +136,11 @@
 }
 
 func decodeResult(r *pb.Result) (msg.FromAgent, error) {
-	kind := msg.ResultKind(r.GetKind())
-	if kind < msg.ResultOK || kind > msg.ResultAborted {
-		return nil, ErrMalformed.New("unknown result kind %d", r.GetKind())
+	if kind := r.GetKind(); kind < pb.ResultKind(msg.ResultOK) || kind > pb.ResultKind(msg.ResultAborted) {
+		return nil, ErrMalformed.New("unknown result kind %d", kind)
 	}
 	return msg.Result{
-		Attempt: decodeAttempt(r.GetAttempt()), Kind: kind, Payload: r.GetPayload(),
+		Attempt: decodeAttempt(r.GetAttempt()), Kind: msg.ResultKind(r.GetKind()), Payload: r.GetPayload(),
 		RunTime: time.Duration(r.GetRunTimeNs()), Report: decodeSlots(r.GetReport()),
 	}, nil
 }
@@ -120,11 +156,10 @@
 func decodeStates(p *pb.AttemptStates) (msg.FromAgent, error) {
 	items := make([]msg.AttemptStateItem, len(p.GetAttempts()))
 	for i, a := range p.GetAttempts() {
-		state := msg.AttemptState(a.GetState())
-		if state < msg.NeverStarts || state > msg.Forgotten {
-			return nil, ErrMalformed.New("unknown attempt state %d", a.GetState())
+		if state := a.GetState(); state < pb.AttemptState(msg.NeverStarts) || state > pb.AttemptState(msg.Forgotten) {
+			return nil, ErrMalformed.New("unknown attempt state %d", state)
 		}
-		items[i] = msg.AttemptStateItem{Attempt: decodeAttempt(a.GetAttempt()), State: state}
+		items[i] = msg.AttemptStateItem{Attempt: decodeAttempt(a.GetAttempt()), State: msg.AttemptState(a.GetState())}
 	}
 	return msg.AttemptStates{Attempts: items}, nil
 }
--- a/internal/linkpb/entry.go
+++ b/internal/linkpb/entry.go
@@ -43,6 +43,9 @@
 		return msg.Rejected{Reason: m.Rejected.GetReason()}, nil
 	case *pb.EntryMessage_Dispatch:
 		d := m.Dispatch
+		if err := checkSize(d.GetSize()); err != nil {
+			return nil, err
+		}
 		return msg.Dispatch{
 			Attempt: decodeAttempt(d.GetAttempt()), AgentIncarnation: msg.Incarnation(d.GetAgentIncarnation()),
 			StartBy: time.Duration(d.GetStartByNs()), RunLimit: time.Duration(d.GetRunLimitNs()),
--- a/internal/linkpb/fuzz_test.go
+++ b/internal/linkpb/fuzz_test.go
@@ -30,6 +30,10 @@
 	} {
 		addSeed(f, &pb.AgentFrame{ClockNs: 5, Messages: []*pb.AgentMessage{linkpb.EncodeFromAgent(m)}})
 	}
+	for _, cores := range oddCores {
+		addSeed(f, &pb.AgentFrame{ClockNs: -1, Messages: []*pb.AgentMessage{linkpb.EncodeFromAgent(msg.Leaving{Report: msg.Slots{Room: msg.Size{Cores: cores}}})}})
+	}
+	addSeed(f, &pb.AgentFrame{Messages: []*pb.AgentMessage{{Message: &pb.AgentMessage_Result{Result: &pb.Result{Kind: 257, RunTimeNs: -1}}}}})
 	f.Add([]byte{0xff})
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		var frame pb.AgentFrame
