Use a worker again that goes on after a deregistration

What callers saw: none reported it. One deregistration with a worker's ID, of another writer or late from an earlier life with the same ID, took the worker out of use for the rest of its life, though it went on announcing itself as ready.

The call has no body and is believed; nothing took it back.

Evidence (before): go test ./internal/agentd -run Deregistration: not in use after 6 s of announcements.

The deregistration holds at once, as before.

After: it passes, and so does TestLeavingIsSeenAfterTooLargeNumber: a worker that announced that it is leaving stays out of use.

--- a/internal/agentd/instance.go
+++ b/internal/agentd/instance.go
@@ -40,6 +40,9 @@
 	adoptions uint64
 	// answered is set once the worker has answered as the present instance.
 	answered bool
+	// leftAt is when the present instance deregistered without an announcement that it is
+	// leaving, or zero.
+	leftAt time.Time
 	// rival is the newest announcement of another instance since the check began, at
 	// rivalSince; nil without a check.
 	rival      *WorkerAnnouncement
@@ -52,7 +55,12 @@
 	samePlace := a.Instance == d.present.Instance && a.Address == d.present.Address
 	switch {
 	case samePlace && d.late(now, a):
+	case samePlace && d.goesOn(now, a):
+		d.adopt(now, a)
 	case samePlace:
+		if a.Leaving {
+			d.leftAt = time.Time{}
+		}
 		a.Leaving = a.Leaving || d.present.Leaving
 		d.present, d.presentAt = a, now
 		d.pass(now)
@@ -74,10 +82,28 @@
 	return a.Number <= d.present.Number && (!a.Leaving || d.present.Leaving) && now.Sub(d.presentAt) < numberTrust
 }
 
+// goesOn reports whether a worker that seemed to have deregistered announces itself on: the
+// call came from another writer, or late from an earlier life with the same ID.
+func (d *leasedDriver) goesOn(now time.Time, a WorkerAnnouncement) bool {
+	return !d.leftAt.IsZero() && now.Sub(d.leftAt) >= numberTrust && !a.Leaving && d.loop.core.Running() == 0
+}
+
+// left handles a notice that the worker is leaving, and reports whether it is that of the
+// present instance.
+func (d *leasedDriver) left(now time.Time, instance lease.Instance) bool {
+	if !d.core.WorkerLeaving(now, instance) {
+		return false
+	}
+	if !d.present.Leaving {
+		d.present.Leaving, d.leftAt = true, now
+	}
+	return true
+}
+
 // adopt begins to use another instance. No task starts before the worker has answered as
 // that instance.
 func (d *leasedDriver) adopt(now time.Time, a WorkerAnnouncement) {
-	d.present, d.presentAt, d.answered, d.rival = a, now, false, nil
+	d.present, d.presentAt, d.answered, d.rival, d.leftAt = a, now, false, nil, time.Time{}
 	d.adoptions++
 	d.worker.SetAddress(a.Address)
 	d.core.Step(now, lease.Announced{Instance: a.Instance, Replaces: true})
--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -140,8 +140,7 @@
 		d.record.left(instance.ID)
 	}
 	d.loop.submit(func(now time.Time) {
-		if d.loop.leased.core.WorkerLeaving(now, instance) {
-			d.loop.leased.present.Leaving = true
+		if d.loop.leased.left(now, instance) {
 			d.loop.core.Step(now, agent.EndpointLeaving{})
 		}
 	})
--- a/internal/agentd/odd_announcement_test.go
+++ b/internal/agentd/odd_announcement_test.go
@@ -305,3 +305,13 @@
 	f.daemon.Announced(announcementOf(5, 101, false))
 	f.c.Check(f.hello().Leaving, qt.IsTrue)
 }
+
+// Guards against a deregistration of another writer, or of an earlier life of a worker that
+// kept its ID, that takes the worker out of use for good although it goes on.
+func TestWorkerThatGoesOnIsUsedAfterDeregistration(t *testing.T) {
+	f := newOddFixture(t)
+	f.c.Assert(f.waitUntilInUse(6*time.Second), qt.IsTrue)
+	f.daemon.Left(lease.Instance{ID: "i"})
+	f.c.Check(f.hello().Leaving, qt.IsTrue)
+	f.c.Check(f.waitUntilInUse(6*time.Second), qt.IsTrue, qt.Commentf("%+v", f.hello()))
+}
--- a/internal/core/lease/io.go
+++ b/internal/core/lease/io.go
@@ -24,7 +24,7 @@
 	Instance Instance
 	// Replaces means that the caller has found that the worker is no other instance, so
 	// that the start times do not decide: the time of day at the worker may have been set
-	// back.
+	// back. An instance that was said to be leaving is then taken over again.
 	Replaces bool
 }
 
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -223,7 +223,8 @@
 // announced begins to take over a new instance of the worker. A late announcement of
 // an earlier instance changes nothing.
 func (c *Core) announced(in Announced) {
-	if in.Instance == c.instance || c.phase != absent && !in.Replaces && in.Instance.StartedAtMs <= c.instance.StartedAtMs {
+	known := in.Instance == c.instance && !(in.Replaces && c.leaving)
+	if known || c.phase != absent && !in.Replaces && in.Instance.StartedAtMs <= c.instance.StartedAtMs {
 		return
 	}
 	c.abortAll()
