Count refused announcements

A refused announcement left a log line (3101) but no metric.

Change. poplarlever_announcements_refused_total at agents; TestRefusedAnnouncementsAreCounted. The driver's term for an announcement of another instance is "candidate", as "rival" once meant something else.

--- a/internal/agentd/endpoint_tracker.go
+++ b/internal/agentd/endpoint_tracker.go
@@ -44,7 +44,7 @@
 func (t *endpointTracker) handleAnnounce(w http.ResponseWriter, r *http.Request) {
 	in, err := readAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
 	if err != nil {
-		logevent.AnnouncementRefused.Log(t.log, zap.Error(err))
+		t.loop.announcementRefused(err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/internal/agentd/instance.go
+++ b/internal/agentd/instance.go
@@ -43,10 +43,10 @@
 	// leftAt is when the present instance deregistered without an announcement that it is
 	// leaving, or zero.
 	leftAt time.Time
-	// rival is the newest announcement of another instance since the check began, at
-	// rivalSince; nil without a check.
-	rival      *WorkerAnnouncement
-	rivalSince time.Time
+	// candidate is the newest announcement of another instance since the check began, at
+	// candidateSince; nil without a check.
+	candidate      *WorkerAnnouncement
+	candidateSince time.Time
 }
 
 // applyAnnouncement uses an announcement of the present instance, or checks whether
@@ -68,10 +68,10 @@
 		d.adopt(now, a)
 	case a.Instance == d.present.Instance:
 		d.loop.announcementRefused(errMalformedAnnouncement.New("worker %s answers at %s, not at %s", a.Instance.ID, d.present.Address, a.Address))
-	case d.rival != nil:
-		d.rival = &a
+	case d.candidate != nil:
+		d.candidate = &a
 	default:
-		d.rival, d.rivalSince = &a, now
+		d.candidate, d.candidateSince = &a, now
 		d.checkPresent()
 	}
 }
@@ -103,7 +103,7 @@
 // adopt begins to use another instance. No task starts before the worker has answered as
 // that instance.
 func (d *leasedDriver) adopt(now time.Time, a WorkerAnnouncement) {
-	d.present, d.presentAt, d.answered, d.rival, d.leftAt = a, now, false, nil, time.Time{}
+	d.present, d.presentAt, d.answered, d.candidate, d.leftAt = a, now, false, nil, time.Time{}
 	d.adoptions++
 	d.worker.SetAddress(a.Address)
 	d.core.Step(now, lease.Announced{Instance: a.Instance, Replaces: true})
@@ -157,27 +157,27 @@
 
 // presentChecked applies the answer to a check.
 func (d *leasedDriver) presentChecked(now time.Time, asked lease.Instance, status lease.Status) {
-	rival := d.rival
+	candidate := d.candidate
 	switch {
-	case rival == nil || asked != d.present.Instance:
+	case candidate == nil || asked != d.present.Instance:
 	case status == lease.OK || status == lease.Fenced:
-		d.rival = nil
-		d.loop.announcementRefused(errMalformedAnnouncement.New("worker %s is announced, but %s answers", rival.Instance.ID, asked.ID))
+		d.candidate = nil
+		d.loop.announcementRefused(errMalformedAnnouncement.New("worker %s is announced, but %s answers", candidate.Instance.ID, asked.ID))
 	case status == lease.WrongInstance:
-		d.adopt(now, *rival)
+		d.adopt(now, *candidate)
 	case !d.core.Ready() && d.loop.core.Running() == 0:
 		// Nothing is lost if the worker is only silent.
-		d.adopt(now, *rival)
-	case now.Sub(d.rivalSince) >= checkLimit:
+		d.adopt(now, *candidate)
+	case now.Sub(d.candidateSince) >= checkLimit:
 		// The next announcement begins a new check.
-		d.rival = nil
+		d.candidate = nil
 	default:
 		time.AfterFunc(checkPause, func() { d.loop.submit(func(time.Time) { d.repeatCheck() }) })
 	}
 }
 
 func (d *leasedDriver) repeatCheck() {
-	if d.rival != nil {
+	if d.candidate != nil {
 		d.checkPresent()
 	}
 }
--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -150,5 +150,8 @@
 func (d *Daemon) Refused(err error) { d.loop.announcementRefused(err) }
 
 func (l *loop) announcementRefused(err error) {
+	if l.metrics != nil {
+		l.metrics.AnnouncementRefused()
+	}
 	logevent.AnnouncementRefused.Log(l.log, zap.Error(err))
 }
--- a/internal/agentd/odd_announcement_test.go
+++ b/internal/agentd/odd_announcement_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +19,7 @@
 	"github.com/poplarlever/poplarlever/internal/fake/worker"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/linkpb"
+	"github.com/poplarlever/poplarlever/internal/telemetry"
 )
 
 const workerAddress = "10.0.0.9:80"
@@ -315,3 +318,24 @@
 	f.c.Check(f.hello().Leaving, qt.IsTrue)
 	f.c.Check(f.waitUntilInUse(6*time.Second), qt.IsTrue, qt.Commentf("%+v", f.hello()))
 }
+
+// Guards against announcements that are refused without a trace.
+func TestRefusedAnnouncementsAreCounted(t *testing.T) {
+	m, err := telemetry.New(telemetry.Agent)
+	qt.Assert(t, err, qt.IsNil)
+	f := newOddFixture(t, WithMetrics(m))
+	f.c.Assert(f.waitUntilInUse(6*time.Second), qt.IsTrue)
+	odd := announcementOf(6, 1, false)
+	odd.Instance.ID = "x"
+	f.daemon.Announced(odd)
+	f.daemon.Refused(odd.Validate())
+	counted := func() bool {
+		w := httptest.NewRecorder()
+		m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+		return strings.Contains(w.Body.String(), "poplarlever_announcements_refused_total 2")
+	}
+	for end := time.Now().Add(5 * time.Second); !counted() && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.c.Check(counted(), qt.IsTrue)
+}
