Get past a fencing token above the worker's clock

What callers saw: none reported it. A worker that restarts under its ID may be shown the token of its earlier life by a late call. Its clock starts anew, so that token can be hours ahead. The agent raised its own by one a round and stayed out until it got there.

A token that is too low was raised by one.

The step doubles while tokens are refused, and the token of an earlier instance counts only if the worker has seen one that it refuses.

--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -132,7 +132,7 @@
 	}
 	switch c.phase {
 	case readingClock:
-		c.fence = max(c.fence, uint64(c.clock/time.Millisecond)) + 1
+		c.raiseFence(in.Status)
 		c.phase = clearing
 	case clearing:
 		c.clearUnowned(in)
@@ -146,6 +146,16 @@
 	}
 }
 
+// raiseFence takes a token above those of earlier agents, after a reading of the worker's
+// clock with the given status.
+func (c *Core) raiseFence(status Status) {
+	c.fence = max(c.fence, uint64(c.clock/time.Millisecond))
+	if status == Fenced {
+		c.fence = max(c.fence, c.earlierFence)
+	}
+	c.fence += max(1, c.fenceStep)
+}
+
 // restartTakeover takes the worker over again with a higher token, after another
 // agent of the same worker has used a higher one.
 func (c *Core) restartTakeover() {
@@ -163,9 +173,10 @@
 // clearUnowned stops what earlier agents started, until nothing of it runs.
 func (c *Core) clearUnowned(in Answer) {
 	if in.Status == Fenced {
-		c.phase = readingClock
+		c.phase, c.fenceStep = readingClock, max(1, 2*c.fenceStep)
 		return
 	}
+	c.fenceStep = 0
 	c.applyLists(in)
 	if len(c.unowned) == 0 {
 		c.phase = held
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -90,6 +90,12 @@
 	phase    phase
 	instance Instance
 	fence    uint64
+	// earlierFence is the highest token of this process at earlier instances. A late call
+	// to one with the same ID may have shown it to the present instance.
+	earlierFence uint64
+	// fenceStep is by how much the next token exceeds the one that was too low. It doubles
+	// until a token is accepted: the one that the worker has seen may be far above its clock.
+	fenceStep uint64
 	// clock is the worker's clock in its newest answer, which came at clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -230,8 +236,7 @@
 	c.abortAll()
 	fresh := New(c.cfg)
 	fresh.now, fresh.out, fresh.lastCall, fresh.phase, fresh.instance = c.now, c.out, c.lastCall, readingClock, in.Instance
-	// A call to an instance with the same ID may have shown the new one the present token.
-	fresh.fence = c.fence
+	fresh.earlierFence = max(c.earlierFence, c.fence)
 	*c = *fresh
 }
 
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -210,3 +210,34 @@
 	f.c.Check(onlyOutput[lease.Ended](f), qt.Equals, lease.Ended{Attempt: attempt, Kind: msg.ResultAborted})
 	f.c.Check(f.hold.Instance, qt.Equals, earlier)
 }
+
+// Guards against a token that is taken over from an earlier instance without need: one
+// above the worker's clock keeps the agent's successor waiting.
+func TestRestartedWorkerGetsTokenOfItsClock(t *testing.T) {
+	f := newFixture(t)
+	f.begin()
+	f.step(lease.Announced{Instance: lease.Instance{ID: "i-1", StartedAtMs: 8}})
+	outputs[lease.Hold](f)
+	f.step(lease.Answer{Call: f.hold.Call, Status: lease.OK, Clock: 5 * time.Millisecond})
+	f.c.Check(onlyOutput[lease.Hold](f).Fence, qt.Equals, uint64(6))
+}
+
+// Guards against a successor that does not get past a token far above the worker's clock
+// for hours: a late call of its predecessor to an earlier instance with the same ID may
+// have shown it to the worker.
+func TestSuccessorPassesTokenAboveClock(t *testing.T) {
+	f := newFixture(t)
+	f.core = lease.New(lease.Config{})
+	f.step(lease.Announced{Instance: instance})
+	const highest = 50_000_000_000
+	for holds := 0; !f.core.Ready(); holds++ {
+		f.c.Assert(holds < 100, qt.IsTrue, qt.Commentf("token %d", f.hold.Fence))
+		f.now = f.now.Add(time.Millisecond)
+		outputs[lease.Hold](f)
+		status := lease.OK
+		if f.hold.Fence < highest {
+			status = lease.Fenced
+		}
+		f.step(lease.Answer{Call: f.hold.Call, Status: status, Clock: time.Duration(holds+1) * time.Millisecond})
+	}
+}
