--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,7 @@
 	"github.com/poplarlever/poplarlever/internal/core/agent"
 	"github.com/poplarlever/poplarlever/internal/core/lease"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/hostport"
 	"github.com/poplarlever/poplarlever/internal/logevent"
 )
 
@@ -39,14 +41,37 @@
 	Leaving bool
 }
 
+// Validate returns an error for an announcement that no worker can have made. It may come
+// from another writer and must not be used.
+func (a WorkerAnnouncement) Validate() error {
+	switch {
+	case a.Instance.ID == "" || a.Service == "":
+		return errMalformedAnnouncement.New("the announcement names no worker or no service")
+	case a.Instance.StartedAtMs <= 0:
+		return errMalformedAnnouncement.New("the worker started at %d ms, which is not a time after 1970", a.Instance.StartedAtMs)
+	case a.Slots < 0:
+		return errMalformedAnnouncement.New("the worker has %d slots", a.Slots)
+	case !(a.Size.Cores >= 0) || math.IsInf(a.Size.Cores, 1):
+		return errMalformedAnnouncement.New("the worker has %v cores", a.Size.Cores)
+	}
+	if err := hostport.Check(a.Address); err != nil {
+		return errMalformedAnnouncement.Wrap(err, "the worker cannot be called")
+	}
+	return nil
+}
+
 // leasedDriver passes inputs and outputs between the agent core, the lease core and
 // the worker. Its methods except call run on the loop's goroutine.
 type leasedDriver struct {
 	loop   *loop
 	core   *lease.Core
 	worker LeasedWorker
+	// tracker and record follow the announcements that are accepted; each may be nil.
+	tracker *endpointTracker
+	record  *recordKeeper
 	// reported is the lease state last given to the agent core.
 	reported agent.LeaseChanged
+	instanceCheck
 }
 
 // startAttempt starts an attempt under the lease.
@@ -69,6 +94,7 @@
 		case lease.Ended:
 			d.attemptEnded(now, out)
 		case lease.Restarted:
+			d.restarted(out.Instance)
 			logevent.WorkerRestarted.Log(d.loop.log, zap.String("id", out.Instance.ID),
 				zap.Int64("started_at_ms", out.Instance.StartedAtMs), zap.Int("attempts", out.Attempts))
 		case lease.Limited:
@@ -90,6 +116,9 @@
 
 func (d *leasedDriver) reportLease(now time.Time) {
 	state := agent.LeaseChanged{Ready: d.core.Ready(), Settled: d.core.Settled()}
+	if state.Settled {
+		d.instanceAnswered()
+	}
 	if state == d.reported {
 		return
 	}
@@ -108,25 +137,9 @@
 // Announced handles an announcement of the leased worker. It is safe for concurrent
 // use.
 func (d *Daemon) Announced(a WorkerAnnouncement) {
-	d.tracker.recordAnnouncement(Announcement{Service: a.Service, Join: uint64(a.Instance.StartedAtMs), Leaving: a.Leaving})
-	if d.record != nil {
-		d.record.announced(a)
-	}
 	d.loop.submit(func(now time.Time) { d.loop.leased.applyAnnouncement(now, a) })
 }
 
-// applyAnnouncement passes an announcement of the worker to the cores. The worker is not
-// used before it has answered a call as the announced instance.
-func (d *leasedDriver) applyAnnouncement(now time.Time, a WorkerAnnouncement) {
-	d.worker.SetAddress(a.Address)
-	d.core.Step(now, lease.Announced{Instance: a.Instance})
-	d.reportLease(now)
-	d.loop.core.Step(now, agent.EndpointAnnounced{
-		Service: a.Service, Slots: a.Slots, Connections: a.Slots, Size: a.Size, Labels: a.Labels, Leased: true,
-		Join: uint64(a.Instance.StartedAtMs), Number: a.Number, Leaving: a.Leaving,
-	})
-}
-
 // Left handles a leased worker's notice that the given instance is leaving. It is safe
 // for concurrent use.
 func (d *Daemon) Left(instance lease.Instance) {
@@ -134,13 +147,18 @@
 		d.record.left(instance.ID)
 	}
 	d.loop.submit(func(now time.Time) {
-		if d.loop.leased.core.WorkerLeaving(now, instance) {
+		if d.loop.leased.left(now, instance) {
 			d.loop.core.Step(now, agent.EndpointLeaving{})
 		}
 	})
 }
 
 // Refused logs an announcement that was rejected with err.
-func (d *Daemon) Refused(err error) {
-	logevent.AnnouncementRefused.Log(d.log, zap.Error(err))
+func (d *Daemon) Refused(err error) { d.loop.announcementRefused(err) }
+
+func (l *loop) announcementRefused(err error) {
+	if l.metrics != nil {
+		l.metrics.AnnouncementRefused()
+	}
+	logevent.AnnouncementRefused.Log(l.log, zap.Error(err))
 }
--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -69,7 +69,7 @@
 // answer applies the outcome of a call. Answers to calls of an earlier instance are
 // ignored.
 func (c *Core) answer(in Answer) {
-	if in.StartedAtMs > c.instance.StartedAtMs && in.Call > c.lastCallBefore {
+	if in.StartedAtMs != 0 && in.StartedAtMs != c.instance.StartedAtMs && in.Call > c.lastCallBefore {
 		c.restarted(in.StartedAtMs)
 		return
 	}
@@ -136,7 +136,7 @@
 	}
 	switch c.phase {
 	case readingClock:
-		c.fence = max(c.fence, c.workerTimeMs()) + 1
+		c.raiseFence()
 		c.phase = clearing
 	case clearing:
 		c.clearUnowned(in)
@@ -150,6 +150,12 @@
 	}
 }
 
+// raiseFence takes a token above those of earlier agents, after a reading of the worker's
+// clock.
+func (c *Core) raiseFence() {
+	c.fence = max(c.fence, c.workerTimeMs()) + max(1, c.fenceStep)
+}
+
 // workerTimeMs returns the time of day at the worker in milliseconds, from its start and
 // its clock. It rises also across restarts of the worker, whose clock begins anew.
 func (c *Core) workerTimeMs() uint64 {
@@ -173,9 +179,10 @@
 // clearUnowned stops what earlier agents started, until nothing of it runs.
 func (c *Core) clearUnowned(in Answer) {
 	if in.Status == Fenced {
-		c.phase = readingClock
+		c.phase, c.fenceStep = readingClock, max(1, 2*c.fenceStep)
 		return
 	}
+	c.fenceStep = 0
 	c.applyLists(in)
 	if len(c.unowned) == 0 {
 		c.phase = held
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -105,6 +105,9 @@
 	phase    phase
 	instance Instance
 	fence    uint64
+	// fenceStep is by how much the next token exceeds the one that was too low. It doubles
+	// until a token is accepted: the one that the worker has seen may be far above its clock.
+	fenceStep uint64
 	// clock is the worker's clock in its newest answer, which came at clockAt.
 	clock   time.Duration
 	clockAt time.Time
@@ -209,7 +212,7 @@
 	c.advance(now)
 	switch in := in.(type) {
 	case Announced:
-		c.announced(in.Instance)
+		c.announced(in)
 	case RunTask:
 		c.runTask(in)
 	case StopTask:
@@ -271,17 +274,18 @@
 
 // announced begins to take over a new instance of the worker. A late announcement of
 // an earlier instance changes nothing.
-func (c *Core) announced(instance Instance) {
-	if instance == c.instance || c.phase != absent && instance.StartedAtMs <= c.instance.StartedAtMs {
+func (c *Core) announced(in Announced) {
+	known := in.Instance == c.instance && !(in.Replaces && c.leaving)
+	if known || c.phase != absent && !in.Replaces && in.Instance.StartedAtMs <= c.instance.StartedAtMs {
 		return
 	}
-	if c.phase != absent && instance.ID == c.instance.ID {
-		c.restarted(instance.StartedAtMs)
+	if c.phase != absent && in.Instance.ID == c.instance.ID {
+		c.restarted(in.Instance.StartedAtMs)
 		return
 	}
 	c.abortAll()
 	fresh := New(c.cfg)
-	fresh.now, fresh.out, fresh.lastCall, fresh.phase, fresh.instance = c.now, c.out, c.lastCall, readingClock, instance
+	fresh.now, fresh.out, fresh.lastCall, fresh.phase, fresh.instance = c.now, c.out, c.lastCall, readingClock, in.Instance
 	*c = *fresh
 }
 
@@ -301,6 +305,9 @@
 	c.emit(StateChanged{})
 }
 
+// Fence returns the fencing token of the latest calls.
+func (c *Core) Fence() uint64 { return c.fence }
+
 // WorkerLeaving records that the worker is ending, and reports whether that applies
 // to its present instance. The lease is not renewed any more.
 func (c *Core) WorkerLeaving(now time.Time, instance Instance) bool {
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -258,3 +258,62 @@
 	f.answerHold(lease.Answer{Status: lease.OK, Running: both[1:]})
 	f.c.Check(onlyOutput[lease.Hold](f).Until, qt.Equals, f.clock()+lease.DefaultTerm)
 }
+
+// Guards against a worker that restarts under its ID and is never used again: a call to
+// its earlier instance may have reached it, with a token far above its new clock.
+func TestRestartedWorkerKnowsEarlierToken(t *testing.T) {
+	f := newFixture(t)
+	earlier := f.begin().Fence
+	f.step(lease.Announced{Instance: lease.Instance{ID: "i-1", StartedAtMs: 8}})
+	outputs[lease.Hold](f)
+	f.step(lease.Answer{Call: f.hold.Call, Status: lease.Fenced, Clock: time.Millisecond})
+	f.c.Check(onlyOutput[lease.Hold](f).Fence > earlier, qt.IsTrue)
+}
+
+// Guards against a worker that is never used again because it restarted after its time of
+// day was set back, and against a late announcement that is taken for such a restart.
+func TestWorkerRestartedAtEarlierTimeOfDay(t *testing.T) {
+	f := newFixture(t)
+	f.begin()
+	earlier := lease.Instance{ID: "i-2", StartedAtMs: 3}
+	f.step(lease.Announced{Instance: earlier})
+	f.c.Check(outputs[lease.Ended](f), qt.HasLen, 0)
+	f.step(lease.Announced{Instance: earlier, Replaces: true})
+	f.c.Check(onlyOutput[lease.Ended](f), qt.Equals, lease.Ended{Attempt: attempt, Kind: msg.ResultAborted})
+	f.c.Check(f.hold.Instance, qt.Equals, earlier)
+}
+
+// Guards against a token that the agent's successor cannot derive: one above the worker's
+// time of day keeps the successor waiting, and one that does not exceed those of the earlier
+// instance lets late calls to that one take effect.
+func TestRestartedWorkerGetsTokenOfItsTime(t *testing.T) {
+	f := newFixture(t)
+	earlier := f.begin().Fence
+	const startedAtMs = 1_000_500
+	f.step(lease.Announced{Instance: lease.Instance{ID: "i-1", StartedAtMs: startedAtMs}})
+	outputs[lease.Hold](f)
+	f.step(lease.Answer{Call: f.hold.Call, Status: lease.OK, Clock: 5 * time.Millisecond})
+	fence := onlyOutput[lease.Hold](f).Fence
+	f.c.Check(fence, qt.Equals, uint64(startedAtMs+6))
+	f.c.Check(fence > earlier, qt.IsTrue)
+}
+
+// Guards against a successor that does not get past a token far above the worker's clock
+// for hours: a late call of its predecessor to an earlier instance with the same ID may
+// have shown it to the worker.
+func TestSuccessorPassesTokenAboveClock(t *testing.T) {
+	f := newFixture(t)
+	f.core = lease.New(lease.Config{})
+	f.step(lease.Announced{Instance: instance})
+	const highest = 50_000_000_000
+	for holds := 0; !f.core.Ready(); holds++ {
+		f.c.Assert(holds < 100, qt.IsTrue, qt.Commentf("token %d", f.hold.Fence))
+		f.now = f.now.Add(time.Millisecond)
+		outputs[lease.Hold](f)
+		status := lease.OK
+		if f.hold.Fence < highest {
+			status = lease.Fenced
+		}
+		f.step(lease.Answer{Call: f.hold.Call, Status: status, Clock: time.Duration(holds+1) * time.Millisecond})
+	}
+}
