Model a lease for many tasks and restarts under the same ID

Callers saw two runs of one task while spec/lease.pml held: it had no other tasks that extend the lease, let no time pass before a stop that was due, and sent the job again only after orphan time + lease + stop, so that an agent that died after the entry was covered in part only.

Change: in lease.pml the agent extends the lease for other tasks, every stop may be lost, nothing that an agent does is due, a caller may leave an entry that lives, and RESEND is the callers' pause in ticks of 0.3 s (5, below orphan time + lease, 6). restart.pml models a worker that restarts under the ID that it had. Variables whose only effect was to forbid the start are folded into its state.

MUT_ACCEPT_OLD_DISPATCH as it was is no fault any more: the start names an end relative to the old echo and does not join a longer lease, and spin found no error. It now also takes the arrival of the dispatch for a sign of life, as the start did before that limit, and is found. All other mutants stay and are found.

Ends that are concluded from time alone are not proven for a start that a restarted worker received for its earlier instance.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Checks the specifications with spin and prints the number of states and the depth.
 #   spec/check.sh            checks every model
-#   spec/check.sh --mutants  checks that spin finds an error in each mutated model
+#   spec/check.sh --mutants  checks that spin finds an error in each mutated model, and in
+#                            each model without one of its assumptions
 set -euo pipefail
 cd "$(dirname "$0")"
 work=$(mktemp -d)
@@ -63,9 +64,19 @@
     finds dispatch "MUT_$m" "-DSAFETY -DCOLLAPSE" ""
   done
   for m in RELEASE_EARLY RESEND_EARLY NO_LEASE_END ANY_LIFE NO_BAR HOLD_BEFORE_STOP CONSTANT_TOKEN SETTLED_AT_ONCE \
-    ESTIMATE_AHEAD ACCEPT_OLD_DISPATCH; do
+    ESTIMATE_AHEAD ACCEPT_OLD_DISPATCH EXTEND_FOR_OTHERS EXTEND_UNCONFIRMED JOIN_LONGER_LEASE START_FOR_TERM \
+    LAPSED_EARLY; do
     finds lease "MUT_$m" "-DSAFETY -DCOLLAPSE" ""
   done
+  for m in END_AT_ANNOUNCEMENT TOKEN_FROM_CLOCK; do
+    finds restart "MUT_$m" "-DSAFETY -DCOLLAPSE" ""
+  done
+  for m in LATE_REVOKE ECHO_BEFORE_REVOKE; do
+    finds lease "GAP_$m" "-DSAFETY -DCOLLAPSE" ""
+  done
+  for m in LAPSE RELEASE; do
+    finds restart "GAP_$m" "-DSAFETY -DCOLLAPSE" ""
+  done
   for m in RESTARTED_ISSUER_RUNS FAILED_KEY_IS_UNUSED FORGET_USED OTHER_ENTRY_RUNS; do
     finds keys "MUT_$m" -DSAFETY ""
   done
@@ -78,6 +89,7 @@
 holds dispatch dispatch "-DSAFETY -DCOLLAPSE" ""
 holds dispatch-two-tasks dispatch "-DSAFETY -DCOLLAPSE" "" -DTASKS=2 -DTRIES=1
 holds lease lease "-DSAFETY -DCOLLAPSE" ""
+holds restart restart "-DSAFETY -DCOLLAPSE" ""
 holds keys keys -DSAFETY ""
 holds config-safety config -DSAFETY -noclaim
 # Liveness needs fairness, which multiplies the states, so this run has only two
