Echo a fresh clock with each dispatch

An agent refuses a dispatch whose clock is so old that the worker's lease already extends beyond the limit that it sets: more than 0.25 s. A busy entry echoed the newest clock that it had received, up to 0.2 s old and older when it is short of processor time, so that refusals would meet just the busy and slow. The dispatch itself proves that the entry lives at that time, and the estimate of the agent's clock is never ahead of it, as on links without tasks until now.

Evidence: TestDispatchOnBusyLinkEchoesFreshClock failed before (a clock 0.4 s old) and passes; the randomized runs of leased tasks pass.

--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -69,9 +69,7 @@
 	c.dispatches++
 	w.seq++
 	w.reserve(j.spec.Tasks[i].DeclaredSize)
-	if !w.busy() {
-		w.advanceClock(now)
-	}
+	w.advanceClock(now)
 	remaining := j.spec.Deadline.Sub(now)
 	a := &attempt{
 		id:  msg.AttemptID{Entry: c.cfg.Incarnation, Job: j.spec.ID, Task: uint32(i), Attempt: t.attempts},
--- a/internal/core/entry/heartbeat.go
+++ b/internal/core/entry/heartbeat.go
@@ -61,10 +61,10 @@
 	return c.cfg.LostAfter + c.idleAllowance()
 }
 
-// advanceClock takes the estimate of the agent's clock as its newest reading when a
-// dispatch ends an idle period of the link: the last clock that the agent sent may be too
-// old for it to accept the attempt. The estimate is never ahead of the agent's clock, so
-// the attempt is stopped no later than after a reading that came just now.
+// advanceClock takes the estimate of the agent's clock as its newest reading for a
+// dispatch: the last clock that the agent sent may be too old for it to accept the attempt.
+// The estimate is never ahead of the agent's clock, so the attempt is stopped no later than
+// after a reading that came just now.
 func (w *worker) advanceClock(now time.Time) {
 	w.clock, w.clockSeen = w.clockAt(now), now
 }
--- a/internal/core/entry/heartbeat_test.go
+++ b/internal/core/entry/heartbeat_test.go
@@ -75,6 +75,21 @@
 	f.c.Check(d[0].EchoedClock, qt.Equals, before+1500*time.Millisecond, qt.Commentf("advanced again without a message from the agent"))
 }
 
+// Guards against a dispatch to a busy worker that the agent refuses because its lease already
+// extends beyond the limit that an older clock sets.
+func TestDispatchOnBusyLinkEchoesFreshClock(t *testing.T) {
+	f := idleFixture(t)
+	w := f.linkLeased("w1", 32)
+	f.submitSized("urgent", 3, 1)
+	f.c.Assert(f.dispatched()[w.link], qt.HasLen, 1)
+	before := w.clock
+	f.advance(400 * time.Millisecond)
+	f.submitSized("urgent", 3, 1)
+	d := f.dispatched()[w.link]
+	f.c.Assert(d, qt.HasLen, 1)
+	f.c.Check(d[0].EchoedClock, qt.Equals, before+400*time.Millisecond)
+}
+
 // Guards against a worker that fell silent while it had no tasks: the first dispatch
 // reveals it, and the task starts elsewhere once it is certain to have ended there.
 func TestFirstDispatchDetectsSilentIdleWorker(t *testing.T) {
