Reproduce a start under a lease that outlives its entry

What callers see: two runs of one task. A dispatch that took up to 0.9 s starts at a worker whose lease was extended to 0.9 s from now for tasks of other entries. The worker never shortens it, so the task may run 1.8 s after the newest sign of life of its entry; callers come back after 1.3 s and entries release attempts after 1.33 s.

Cause: leaseEnd bounds extensions that come after an entry's first task, not the extension that the worker already has when the task joins.

--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -102,6 +102,8 @@
 	partitionedUntil, callsLateUntil, pausedUntil time.Time
 	// cutUntil holds the ends of partitions between the agent and single entries.
 	cutUntil map[*leasedEntry]time.Time
+	// delayFrom holds how much longer messages of single entries take to the agent.
+	delayFrom map[*leasedEntry]time.Duration
 	// Until stopsLostUntil, stops get no answer and are not carried out.
 	stopsLostUntil time.Time
 }
@@ -210,7 +212,7 @@
 	if a.cutOff(e) {
 		return
 	}
-	w.after(500*time.Microsecond, func() {
+	w.after(500*time.Microsecond+a.delayFrom[e], func() {
 		w.whenResumed(&a.pausedUntil, func() {
 			for inc, l := range a.links {
 				if a.gen == agentGen && l.to == e && l.gen == entryGen && l.link == s.Link {
