Reproduce running tasks that an announcement reports as ended

What entries see: attempts end as aborted while their tasks run, so that the tasks start elsewhere. The worker has restarted under its ID and carries out starts meant for the earlier instance; then another worker is announced. Either the announcement of the restart was adopted before (not answered yet, so that any other announcement is adopted without a check), or the check itself shows the restart, which presentChecked takes for proof that the other worker is there. Both end all attempts at once.

Also: a worker that announced that it is leaving and restarts under its ID is not used again if an answer tells of the restart first, because the agent core keeps its join.

--- a/internal/agentd/odd_announcement_test.go
+++ b/internal/agentd/odd_announcement_test.go
@@ -30,6 +30,9 @@
 	mu      sync.Mutex
 	address string
 	worker  *worker.Worker
+	// coreCallsLost loses the calls of the lease core, which are numbered. Those that ask
+	// whether the worker still is the present instance get through.
+	coreCallsLost bool
 }
 
 func newInstanceWorker(instance lease.Instance) *instanceWorker {
@@ -63,7 +66,7 @@
 func (w *instanceWorker) call(number uint64, instance lease.Instance, do func(lease.Instance) lease.Answer) lease.Answer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.address != workerAddress {
+	if w.address != workerAddress || w.coreCallsLost && number != 0 {
 		return lease.Answer{Call: number, Status: lease.NoAnswer}
 	}
 	if instance.ID == w.worker.Instance.ID {
