Believe another instance only when it answers

Callers may see: two runs of one task.

Cause: while a worker that had restarted under its ID was checked, an answer with another start time counted as proof for any announcement, also one of another ID; and after an adopted restart the next announcement was used without a check. All attempts then counted as ended while the worker ran them.

Change: an answer proves the announced instance only if it has its ID and start time; a worker that restarts under its ID remains checked.

Evidence: TestOtherAnnouncementAfterRestartLeavesTasksRunning failed before in both cases (no attempt running at the agent, the task running at the worker) and passes.

--- a/internal/agentd/instance.go
+++ b/internal/agentd/instance.go
@@ -103,7 +103,10 @@
 // adopt begins to use another instance. No task starts before the worker has answered as
 // that instance.
 func (d *leasedDriver) adopt(now time.Time, a WorkerAnnouncement) {
-	d.present, d.presentAt, d.answered, d.candidate, d.leftAt = a, now, false, nil, time.Time{}
+	// A worker that restarts under its ID has answered as that ID; the lease core finds out
+	// what it runs.
+	answered := d.answered && a.Instance.ID == d.present.Instance.ID
+	d.present, d.presentAt, d.answered, d.candidate, d.leftAt = a, now, answered, nil, time.Time{}
 	d.adoptions++
 	d.worker.SetAddress(a.Address)
 	d.core.Step(now, lease.Announced{Instance: a.Instance, Replaces: true})
@@ -151,19 +154,22 @@
 			ask.Fence = fence
 			answer = d.worker.Hold(context.Background(), ask)
 		}
-		if answer.StartedAtMs != 0 && answer.StartedAtMs != ask.Instance.StartedAtMs {
-			// Calls name the ID alone, which a restarted worker may keep.
-			answer.Status = lease.WrongInstance
-		}
-		d.loop.submit(func(now time.Time) { d.presentChecked(now, ask.Instance, answer.Status) })
+		d.loop.submit(func(now time.Time) { d.presentChecked(now, ask.Instance, answer) })
 	}()
 }
 
 // presentChecked applies the answer to a check.
-func (d *leasedDriver) presentChecked(now time.Time, asked lease.Instance, status lease.Status) {
-	candidate := d.candidate
+func (d *leasedDriver) presentChecked(now time.Time, asked lease.Instance, answer lease.Answer) {
+	candidate, status := d.candidate, answer.Status
+	answering := asked
+	if answer.StartedAtMs != 0 {
+		// Calls name the ID alone, which a restarted worker may keep.
+		answering.StartedAtMs = answer.StartedAtMs
+	}
 	switch {
 	case candidate == nil || asked != d.present.Instance:
+	case status == lease.OK && candidate.Instance == answering:
+		d.adopt(now, *candidate)
 	case status == lease.OK || status == lease.Fenced:
 		d.candidate = nil
 		d.loop.announcementRefused(errMalformedAnnouncement.New("worker %s is announced, but %s answers", candidate.Instance.ID, asked.ID))
