Use a worker again that left and restarted under its ID

A worker that announced that it is leaving, and whose restart was learnt from an answer, stayed closed: the agent core's note that it had left is cleared by a new join only, and the announcement that followed had the same.

Evidence: TestWorkerThatLeftAndRestartedIsUsed failed before (still leaving after 6 s) and passes.

--- a/internal/agentd/instance.go
+++ b/internal/agentd/instance.go
@@ -188,11 +188,14 @@
 
 // restarted follows a restart of the worker under its ID that an answer has told of. Its
 // announcements are numbered anew.
-func (d *leasedDriver) restarted(instance lease.Instance) {
-	if d.present.Instance.ID == instance.ID && d.present.Instance != instance {
-		d.present.Instance, d.present.Number, d.present.Leaving, d.leftAt = instance, 0, false, time.Time{}
-		d.candidate = nil
+func (d *leasedDriver) restarted(now time.Time, instance lease.Instance) {
+	if d.present.Instance.ID != instance.ID || d.present.Instance == instance {
+		return
 	}
+	d.present.Instance, d.present.Number, d.present.Leaving, d.leftAt = instance, 0, false, time.Time{}
+	d.candidate = nil
+	d.adoptions++
+	d.pass(now)
 }
 
 func (d *leasedDriver) repeatCheck() {
--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -94,7 +94,7 @@
 		case lease.Ended:
 			d.attemptEnded(now, out)
 		case lease.Restarted:
-			d.restarted(out.Instance)
+			d.restarted(now, out.Instance)
 			logevent.WorkerRestarted.Log(d.loop.log, zap.String("id", out.Instance.ID),
 				zap.Int64("started_at_ms", out.Instance.StartedAtMs), zap.Int("attempts", out.Attempts))
 		case lease.Limited:
