Keep a recent reading of an idle worker's clock

Callers may see: two runs of one task.

Cause: a worker's clock may be 2% slow, and an idle worker was asked for nothing. The estimate of its clock ran ahead by 2% of the idle time, so that a start after a minute named an end 1.2 s too late: carried out late, it ran after its attempt had been reported as ended.

Change: the estimate counts elapsed time at the slowest allowed rate, and an idle worker is asked for its clock every 2 s. The hold also tells of a restart under the same ID, which otherwise came with the next heartbeat.

Evidence: TestStartAfterIdleTimeOfSlowClock failed before after 10, 20 and 60 s and passes.

--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -22,11 +22,11 @@
 	}
 }
 
-// holdSteadyState renews the lease while something runs, and acknowledges the
-// newest ends.
+// holdSteadyState renews the lease while something runs, acknowledges the newest ends,
+// and keeps a recent reading of an idle worker's clock, which also tells of a restart.
 func (c *Core) holdSteadyState() {
 	switch {
-	case len(c.byName) == 0 && len(c.unowned) == 0 && c.acked == c.seen && !c.silent:
+	case len(c.byName) == 0 && len(c.unowned) == 0 && c.acked == c.seen && !c.silent && c.now.Sub(c.clockAt) < clockRefresh:
 	case c.unanswered > 0, c.leaving, len(c.byName) == 0:
 		// The lease of a worker that does not answer is not extended: once it has lapsed,
 		// nothing runs there.
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -73,6 +73,9 @@
 	// lostAfterHolds is the number of holds in a row that must omit a running task
 	// before it counts as lost.
 	lostAfterHolds = 2
+	// clockRefresh is the age of the newest reading of the worker's clock at which an idle
+	// worker is asked for another one.
+	clockRefresh = 2 * time.Second
 	// minStartLease is the shortest lease with which a task is started. A shorter one means
 	// that a task whose end is not proven keeps the lease from being extended.
 	minStartLease = 100 * time.Millisecond
@@ -343,9 +346,11 @@
 	return e.stopRequested && !c.now.Before(e.stopRequestedAt.Add(c.cfg.StopTerm)) && !c.now.Before(c.lapsedBy)
 }
 
-// workerClock estimates the worker's clock. The estimate is ahead of the real one
-// by at most clockSlack of the time since the last answer.
-func (c *Core) workerClock() time.Duration { return c.clock + c.now.Sub(c.clockAt) }
+// workerClock estimates the worker's clock. The estimate is never ahead of the real one,
+// which may be slow.
+func (c *Core) workerClock() time.Duration {
+	return c.clock + time.Duration((1-clockSlack)*float64(c.now.Sub(c.clockAt)))
+}
 
 // ownerSeen records a sign of life of an entry that has attempts here.
 func (c *Core) ownerSeen(in OwnerSeen) {
