Count the limit of a stop from the entry's last sign of life

Callers may see: two runs of one task.

Cause: the bound for a stop that is not confirmed counted from its arrival at the agent. An entry that was paused for half a second while its caller's connection broke, or whose messages are late, asks late, and its signs of life after the pause extended the lease.

--- a/internal/core/lease/execution.go
+++ b/internal/core/lease/execution.go
@@ -31,9 +31,10 @@
 	startedAt time.Time
 	// endBy is when the attempt has used up its run time; zero means no limit.
 	endBy time.Time
-	// stopRequested is set once the attempt has to end, at stopRequestedAt.
-	stopRequested   bool
-	stopRequestedAt time.Time
+	// stopRequested is set once the attempt has to end, at stopRequestedAt. Until that is
+	// confirmed, the lease does not reach beyond stopLimit.
+	stopRequested              bool
+	stopRequestedAt, stopLimit time.Time
 	// stopCall is the number of the stop that waits for its answer, or zero.
 	stopCall uint64
 	// retryStopAt is when a stop that got no answer is sent again.
@@ -146,6 +147,12 @@
 	e.stopRequested, e.stopRequestedAt = true, c.now
 	if e.stopDue(c.now) {
 		c.sendStop(e)
+	// The request may have been late: signs of life that follow it prove nothing about the
+	// time at which the entry decided.
+	e.stopLimit = c.now.Add(c.cfg.StopTerm)
+	if limit := e.owner.seen.Add(c.cfg.OwnerTerm); limit.Before(e.stopLimit) {
+		e.stopLimit = limit
+	}
 	}
 }
 
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -369,8 +369,8 @@
 		}
 	}
 	for _, e := range c.byName {
-		if limit := e.stopRequestedAt.Add(c.cfg.StopTerm); e.stopRequested && limit.Before(end) {
-			end = limit
+		if e.stopRequested && e.stopLimit.Before(end) {
+			end = e.stopLimit
 		}
 	}
 	for _, u := range c.unowned {
