Ignore answers of a replaced worker's calls as proof of a restart

The instance with another ID began without a record of the last call to the earlier one, whose late answer was taken for a restart: the worker was taken over a second time.

Evidence: TestLateAnswerOfReplacedWorkerIsNoRestart failed before and passes.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -132,8 +132,7 @@
 	// newest one that the worker knows to be applied.
 	seen, acked uint64
 	lastCall    uint64
-	// lastCallBefore is the last call to earlier instances with the same ID: the clock in
-	// its answer may be theirs.
+	// lastCallBefore is the last call to earlier instances: its answer may be theirs.
 	lastCallBefore uint64
 	// holdCall is the hold that waits for its answer, or zero. queryCall is a second
 	// one, which does not wait for an end.
@@ -290,6 +289,7 @@
 	c.abortAll()
 	fresh := New(c.cfg)
 	fresh.now, fresh.out, fresh.lastCall, fresh.phase, fresh.instance = c.now, c.out, c.lastCall, readingClock, in.Instance
+	fresh.lastCallBefore = c.lastCall
 	*c = *fresh
 }
 
