Refuse a start that no lease can follow

An agent that was paused may handle a dispatch before its tick finds that the lease cannot be extended. The start then named no end of the lease.

Evidence: TestStartAfterPauseNamesAnEndOfTheLease failed before ("the start names the end 0s") and passes.

--- a/internal/core/lease/execution.go
+++ b/internal/core/lease/execution.go
@@ -99,20 +99,22 @@
 		c.stop(older)
 		return verdict.TaskPresent
 	}
-	if c.joinsLongerLease(in) {
+	limit := c.ownerLimit(in)
+	if c.promisedEnd.After(limit) || min(limit.Sub(c.now), c.leaseEnd().Sub(c.now)) < minStartLease {
+		// The worker never shortens its lease, which may reach beyond the limit already.
 		return verdict.StartByPassed
 	}
 	return 0
 }
 
-// joinsLongerLease reports whether the lease may already extend beyond OwnerTerm after the
-// newest sign of life of the attempt's entry. The worker never shortens it.
-func (c *Core) joinsLongerLease(in RunTask) bool {
+// ownerLimit returns the latest end of the lease that the newest sign of life of the
+// attempt's entry allows.
+func (c *Core) ownerLimit(in RunTask) time.Time {
 	seen := in.OwnerSeen
 	if o := c.owners[in.Attempt.Entry]; o != nil && o.seen.After(seen) {
 		seen = o.seen
 	}
-	return c.promisedEnd.After(seen.Add(c.cfg.OwnerTerm))
+	return seen.Add(c.cfg.OwnerTerm)
 }
 
 // addOwner links an attempt to the entry that it belongs to.
@@ -145,14 +147,14 @@
 		return
 	}
 	e.stopRequested, e.stopRequestedAt = true, c.now
-	if e.stopDue(c.now) {
-		c.sendStop(e)
 	// The request may have been late: signs of life that follow it prove nothing about the
 	// time at which the entry decided.
 	e.stopLimit = c.now.Add(c.cfg.StopTerm)
 	if limit := e.owner.seen.Add(c.cfg.OwnerTerm); limit.Before(e.stopLimit) {
 		e.stopLimit = limit
 	}
+	if e.stopDue(c.now) {
+		c.sendStop(e)
 	}
 }
 
