--- a/internal/processtest/soak_worker_test.go
+++ b/internal/processtest/soak_worker_test.go
@@ -182,7 +182,7 @@
 			}
 		})
 	}
-	l.write(rw, answer)
+	l.write(rw, call.path, answer)
 }
 
 // lose decides whether a call gets no answer, and carries it out later at random.
@@ -276,7 +276,7 @@
 }
 
 // write writes an answer as the platform's worker does.
-func (l *life) write(rw http.ResponseWriter, a lease.Answer) {
+func (l *life) write(rw http.ResponseWriter, path string, a lease.Answer) {
 	status, reason := http.StatusOK, ""
 	switch a.Status {
 	case lease.OK:
@@ -305,7 +305,7 @@
 		}
 		finished = append(finished, []any{f.Number, f.Task, f.Run, how, ""})
 	}
-	if len(running)+len(finished) > 0 || a.StartedAtMs != 0 {
+	if path == "/hold" {
 		out["running"], out["finished"], out["born"] = running, finished, l.started.UnixMilli()
 	}
 	rw.Header().Set("Content-Type", "application/json")
