--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -299,9 +299,11 @@
 		if rng.IntN(3) == 0 {
 			w, e = rng.IntN(soakWorkers), rng.IntN(soakEntries)
 		}
-		f := faults[rng.IntN(len(faults))]
-		s.logf("fault %s at worker %d, entry %d", f.name, w, e)
-		f.do(s, rng, s.workers[w], s.agents[w], s.entries[e])
+		for range []int{1, 1, 2, 3}[rng.IntN(4)] {
+			f := faults[rng.IntN(len(faults))]
+			s.logf("fault %s at worker %d, entry %d", f.name, w, e)
+			f.do(s, rng, s.workers[w], s.agents[w], s.entries[e])
+		}
 	}
 }
 
