--- a/internal/processtest/soak_process_test.go
+++ b/internal/processtest/soak_process_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -18,6 +20,9 @@
 	// reloadAfter is how long after its start a process gets a SIGHUP: before it handles
 	// signals, one ends it.
 	reloadAfter = time.Second
+	// firstKeptPort and keptPorts are a range below that of outgoing connections.
+	firstKeptPort = 18_000
+	keptPorts     = 14_000
 )
 
 // soakProcess is an entry or an agent that is started again whenever a signal has ended
@@ -73,6 +78,7 @@
 	}
 	if !asked {
 		p.s.failf("%s has ended by itself: %s", p.name, cmd.ProcessState)
+		p.s.sleep(time.Second)
 	}
 	p.launch()
 }
@@ -160,13 +166,23 @@
 	return file
 }
 
+// keptAddress returns a loopback address with a port that the system gives to no outgoing
+// connection while a restarted process does not listen on it.
+func (s *soak) keptAddress() string {
+	for {
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstKeptPort+rand.IntN(keptPorts)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+}
+
 func (s *soak) startEntries() {
 	for i := range soakEntries {
-		free := freeAddresses(s.c, 3)
-		s.entries = append(s.entries, &soakProcess{
-			s: s, name: fmt.Sprint("entry-", i), address: free[0], front: free[1], ready: free[2],
-			links: startProxy(s, free[0], s.workerNames()...), callers: startProxy(s, free[1]),
-		})
+		p := &soakProcess{s: s, name: fmt.Sprint("entry-", i), address: s.keptAddress(), front: s.keptAddress(), ready: s.keptAddress()}
+		p.links, p.callers = startProxy(s, p.address, s.workerNames()...), startProxy(s, p.front)
+		s.entries = append(s.entries, p)
 	}
 	for i, p := range s.entries {
 		p.args = []string{"entry", "--settings", s.writeSettings("entry.tmpl", p.name, `advertise = "`+p.links.address+"\"\n", s.entryAddresses(), map[string]string{
@@ -180,7 +196,7 @@
 
 func (s *soak) startAgents() {
 	for i, worker := range s.workerNames() {
-		p := &soakProcess{s: s, name: fmt.Sprint("agent-", i), address: freeAddresses(s.c, 1)[0]}
+		p := &soakProcess{s: s, name: fmt.Sprint("agent-", i), address: s.keptAddress()}
 		p.args = []string{"agent", "--settings", s.writeSettings("agent.tmpl", p.name, "", s.entryAddresses(), map[string]string{
 			"node": worker, "zone": fmt.Sprint("zone-", i%2), "listen.control": p.address, "platform.address": s.store, "service": soakService,
 		})}
--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -333,7 +333,7 @@
 	s.startEntries()
 	s.startAgents()
 	for i, name := range s.workerNames() {
-		address := freeAddresses(s.c, 1)[0]
+		address := s.keptAddress()
 		w := &soakWorker{s: s, name: name, address: address, agentAddress: s.agents[i].address, proxy: startProxy(s, address), rng: random(uint64(100 + i))}
 		s.workers = append(s.workers, w)
 	}
