--- a/internal/processtest/soak_caller_test.go
+++ b/internal/processtest/soak_caller_test.go
@@ -142,8 +142,8 @@
 			delete(c.conns, e)
 		}
 	}()
-	sent := latest(time.Now(), e.callers.disturbedUntil(""))
-	wait := time.Until(job.deadline)
+	sent := time.Now()
+	wait := job.deadline.Sub(sent)
 	req, _ := http.NewRequest(http.MethodPost, "http://"+soakHost+soakPrefix+job.id, strings.NewReader(job.body))
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	c.s.logf("job %s goes to %s", job.id, e.name)
@@ -157,7 +157,14 @@
 		silentFrom = time.Now()
 		c.s.logf("the connection of job %s falls silent", job.id)
 	}
-	due := func() time.Time { return latest(e.readAt(sent).Add(wait), e.disturbedUntil()).Add(answerSlack) }
+	due := func() time.Time {
+		// A request that a cut holds up has not reached the entry.
+		arrived := e.callers.passedAt(conn.LocalAddr())
+		if arrived.Before(sent) {
+			arrived = time.Now()
+		}
+		return latest(e.readAt(arrived).Add(wait), e.disturbedUntil()).Add(answerSlack)
+	}
 	if !silentFrom.IsZero() {
 		due = func() time.Time { return silentFrom }
 	}
--- a/internal/processtest/soak_proxy_test.go
+++ b/internal/processtest/soak_proxy_test.go
@@ -42,6 +42,8 @@
 	client, target net.Conn
 	// peer is empty until the connection is known to belong to one.
 	peer string
+	// passedAt is when the newest bytes went on to the target.
+	passedAt time.Time
 	// silent makes the proxy swallow all bytes and closes.
 	silent, closed bool
 }
@@ -119,11 +121,28 @@
 func (p *proxy) silence(client net.Addr) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if conn := p.find(client); conn != nil {
+		conn.silent = true
+	}
+}
+
+// passedAt returns when the newest bytes from a client address went on to the target.
+func (p *proxy) passedAt(client net.Addr) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn := p.find(client); conn != nil {
+		return conn.passedAt
+	}
+	return time.Time{}
+}
+
+func (p *proxy) find(client net.Addr) *proxiedConn {
 	for conn := range p.conns {
 		if conn.client.RemoteAddr().String() == client.String() {
-			conn.silent = true
+			return conn
 		}
 	}
+	return nil
 }
 
 // disturbedUntil returns the end of the longest disturbance of a peer so far.
@@ -178,6 +197,7 @@
 		}
 		if forward && n > 0 {
 			_, _ = to.Write(buffer[:n])
+			conn.passed(d)
 		}
 		if err != nil {
 			if forward {
@@ -190,6 +210,14 @@
 	}
 }
 
+func (conn *proxiedConn) passed(d direction) {
+	conn.p.mu.Lock()
+	defer conn.p.mu.Unlock()
+	if d == toTarget {
+		conn.passedAt = time.Now()
+	}
+}
+
 func (conn *proxiedConn) identify(content []byte) {
 	conn.p.mu.Lock()
 	defer conn.p.mu.Unlock()
