--- a/internal/processtest/soak_process_test.go
+++ b/internal/processtest/soak_process_test.go
@@ -166,11 +166,15 @@
 	return file
 }
 
+// keptPort is the port that keptAddress tries next.
+var keptPort = firstKeptPort + rand.IntN(keptPorts)
+
 // keptAddress returns a loopback address with a port that the system gives to no outgoing
-// connection while a restarted process does not listen on it.
+// connection while a restarted process does not listen on it, and that it returns only once.
 func (s *soak) keptAddress() string {
 	for {
-		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", firstKeptPort+rand.IntN(keptPorts)))
+		keptPort = firstKeptPort + (keptPort+1-firstKeptPort)%keptPorts
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", keptPort))
 		if err == nil {
 			defer l.Close()
 			return l.Addr().String()
--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -527,3 +527,53 @@
 	frozen.callers.resetAll("")
 	group.Wait()
 }
+
+// Guards against two runs of one task when the cancel of a job whose caller has left is held
+// up in a cut link, or by a frozen agent, for nearly the term of the lease, and stops are lost
+// when it arrives: the signs of life that arrive with it must not extend the lease of the
+// cancelled task.
+func TestLateCancelEndsTaskWhileStopsAreLost(t *testing.T) {
+	const late = 700 * time.Millisecond
+	t.Run("cut", func(t *testing.T) {
+		cancelLate(t, func(s *soak, i int) { s.entries[0].links.hold(s.workers[i].name, fromTarget, late) })
+	})
+	t.Run("freeze", func(t *testing.T) {
+		cancelLate(t, func(s *soak, i int) { s.agents[i].freeze(late) })
+	})
+}
+
+// cancelLate lets a caller leave just after each worker's agent has been disturbed and stops
+// began to be lost, and send its job to another entry.
+func cancelLate(t *testing.T, disturb func(s *soak, agent int)) {
+	s := newSoak(t, 1)
+	defer s.report(t)
+	background, caller := s.newCaller(0), s.newCaller(1)
+	first, other := s.entries[0], s.entries[1]
+	waitFor(s.c, "jobs through two entries", func() bool {
+		for _, e := range []*soakProcess{first, other} {
+			if status, _ := caller.try(e, caller.newJob(taskPlan{Ms: 5}, soakWorkers)); status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	// Tasks of the other entry let the agents renew their leases.
+	go background.try(other, background.newJob(taskPlan{Hangs: true}, 3*soakWorkers))
+	time.Sleep(200 * time.Millisecond)
+	job := caller.newJob(taskPlan{Hangs: true}, soakWorkers)
+	job.deadline = time.Now().Add(4 * time.Second)
+	time.AfterFunc(300*time.Millisecond, func() {
+		s.locked(func() {
+			for i, w := range s.workers {
+				w.stopsLostUntil = time.Now().Add(4 * time.Second)
+				disturb(s, i)
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+		first.callers.resetAll("")
+	})
+	status, _ := caller.try(first, job)
+	s.c.Assert(status, qt.Equals, 0)
+	s.sleep(resendPause)
+	_, _ = caller.try(other, job)
+}
