Believe a restart only from the worker that was called

An answer with another start time was taken for a restart of the worker even when it came from another worker at the address, which then stayed out of use under the wrong start time.

--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -69,7 +69,7 @@
 // answer applies the outcome of a call. Answers to calls of an earlier instance are
 // ignored.
 func (c *Core) answer(in Answer) {
-	if in.StartedAtMs != 0 && in.StartedAtMs != c.instance.StartedAtMs && in.Call > c.lastCallBefore {
+	if in.Status == OK && in.StartedAtMs != 0 && in.StartedAtMs != c.instance.StartedAtMs && in.Call > c.lastCallBefore {
 		c.restarted(in.StartedAtMs)
 		return
 	}
