Report which tasks run when a worker crashes

Neither a log line nor a counter told which tasks ran at a crash, whether a task had been there before, or that a worker had crashed at all: to its agent it fell silent.

Cause: a refused connection counted as a lost answer, and the attempts of a crashed worker ended like any that was stopped.

Change: the status NotListening; lease.Crashed, once for each instance, when the VM refuses connections while the worker counts as silent, when another instance answers, or when the next one announces itself and the last had not said that it would leave. A dispatch names its job type. Older programs ignore the new fields. What starts where, and when, is unchanged.

--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -66,6 +66,8 @@
 			go d.call(func(ctx context.Context) lease.Answer { return d.worker.Stop(ctx, out) })
 		case lease.Hold:
 			go d.call(func(ctx context.Context) lease.Answer { return d.worker.Hold(ctx, out) })
+		case lease.Crashed:
+			d.workerCrashed(now, out)
 		case lease.Ended:
 			d.attemptEnded(now, out)
 		case lease.Restarted:
@@ -81,6 +83,21 @@
 	return len(outputs) > 0
 }
 
+// workerCrashed tells the agent core which attempts ran when the worker crashed.
+func (d *leasedDriver) workerCrashed(now time.Time, crash lease.Crashed) {
+	if d.loop.metrics != nil {
+		d.loop.metrics.WorkerCrashed()
+	}
+	in := agent.WorkerCrashed{Instance: crash.Instance.StartedAtMs}
+	for _, a := range crash.Attempts {
+		in.Attempts = append(in.Attempts, agent.CrashedAttempt(a))
+	}
+	latest := crash.Attempts[0]
+	logevent.WorkerCrashed.Log(d.loop.log, zap.String("instance", crash.Instance.ID), zap.Int("tasks", len(crash.Attempts)),
+		zap.Strings("names", d.loop.core.TaskNames(in.Attempts)), zap.Duration("latest_ran", latest.RunTime))
+	d.loop.core.Step(now, in)
+}
+
 func (d *leasedDriver) attemptEnded(now time.Time, e lease.Ended) {
 	if d.loop.metrics != nil {
 		d.loop.metrics.TaskEnded(e.Kind)
@@ -119,7 +136,7 @@
 // used before it has answered a call as the announced instance.
 func (d *leasedDriver) applyAnnouncement(now time.Time, a WorkerAnnouncement) {
 	d.worker.SetAddress(a.Address)
-	d.core.Step(now, lease.Announced{Instance: a.Instance})
+	d.core.Step(now, lease.Announced{Instance: a.Instance, Leaving: a.Leaving})
 	d.reportLease(now)
 	d.loop.core.Step(now, agent.EndpointAnnounced{
 		Service: a.Service, Slots: a.Slots, Connections: a.Slots, Size: a.Size, Labels: a.Labels, Leased: true,
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -82,6 +82,7 @@
 	grantBudget float64
 	revision    uint64
 	outcomes    outcomeCounter
+	crashes     crashLog
 	out         []Output
 }
 
@@ -164,6 +165,8 @@
 		c.endpointLost(now)
 	case LeaseChanged:
 		c.leaseChanged(now, in)
+	case WorkerCrashed:
+		c.workerCrashed(now, in)
 	case Stop:
 		c.stop(now)
 	case TaskEnded:
@@ -230,6 +233,7 @@
 		ReleaseAfter:  c.releaseAfter(),
 		Labels:        c.endpoint.labels,
 		Settled:       c.endpoint.settled,
+		Crashes:       c.crashes.unsent(c.now, e),
 	}
 }
 
--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -30,6 +30,8 @@
 	expires time.Time
 	result  msg.Result
 	size    msg.Size
+	// taskName and jobType are those of a task at a leased worker.
+	taskName, jobType string
 	// stopping is set once a StopTask was emitted for the running attempt.
 	stopping bool
 }
@@ -96,7 +98,7 @@
 }
 
 func (c *Core) start(e *entryState, d msg.Dispatch) {
-	c.attempts[d.Attempt] = &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size}
+	c.attempts[d.Attempt] = &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size, taskName: d.TaskName, jobType: d.JobType}
 	c.running++
 	c.used = c.used.Plus(d.Size)
 	c.checkUsage()
--- a/internal/core/agent/entries.go
+++ b/internal/core/agent/entries.go
@@ -31,6 +31,9 @@
 	drainingSince time.Time
 	// echoedClock is the newest agent clock that the entry has sent back.
 	echoedClock time.Duration
+	// crashesSent is the number of the latest crash that the entry was told of on this
+	// link.
+	crashesSent uint64
 	// reportedRoom is the room in the latest report to the entry.
 	reportedRoom msg.Size
 	// lastSeq is the largest Dispatch.Seq received.
@@ -98,7 +101,7 @@
 		e.retired = false
 		s.retired = slices.DeleteFunc(s.retired, func(o *entryState) bool { return o == e })
 	}
-	e.up, e.lastSent, e.lastHeard = true, now, now
+	e.up, e.lastSent, e.lastHeard, e.crashesSent = true, now, now, 0
 	s.linked = append(s.linked, e)
 	return e, replaced
 }
--- a/internal/core/agent/io.go
+++ b/internal/core/agent/io.go
@@ -62,6 +62,21 @@
 // tasks may be started, Settled once no task of an earlier agent runs.
 type LeaseChanged struct{ Ready, Settled bool }
 
+// WorkerCrashed says that the leased worker's instance ended without notice, with these
+// attempts there, the one started last first. Their TaskEnded follow.
+type WorkerCrashed struct {
+	Instance int64
+	Attempts []CrashedAttempt
+}
+
+// CrashedAttempt is an attempt at a worker that crashed. RunTime is the time from its start
+// to the crash. Unconfirmed means that the worker had not answered the start.
+type CrashedAttempt struct {
+	Attempt     msg.AttemptID
+	RunTime     time.Duration
+	Unconfirmed bool
+}
+
 // Stop says that the agent process is ending. It accepts no further task, whatever
 // the endpoint announces.
 type Stop struct{}
@@ -89,6 +104,7 @@
 func (EndpointLeaving) input()   {}
 func (EndpointLost) input()      {}
 func (LeaseChanged) input()      {}
+func (WorkerCrashed) input()     {}
 func (Stop) input()              {}
 func (TaskEnded) input()         {}
 func (RevisionChanged) input()   {}
--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -94,7 +94,7 @@
 	}
 	delete(c.byCall, in.Call)
 	c.updateClock(in)
-	if in.Status == NoAnswer {
+	if in.Status == NoAnswer || in.Status == NotListening {
 		c.answers.Unanswered()
 	} else {
 		c.answers.Answered(c.now.Sub(waiting.sentAt))
@@ -132,6 +132,7 @@
 			c.setSilent(true)
 			c.nextHoldAt = c.now.Add(c.cfg.ProbeInterval)
 		}
+		c.noteUnreachable(in.Status)
 		return
 	}
 	switch c.phase {
--- a/internal/core/lease/io.go
+++ b/internal/core/lease/io.go
@@ -19,8 +19,12 @@
 // Input is an event that the core reacts to.
 type Input interface{ input() }
 
-// Announced says that the worker is alive.
-type Announced struct{ Instance Instance }
+// Announced says that the worker is alive. Leaving means that this instance is going to
+// end as planned.
+type Announced struct {
+	Instance Instance
+	Leaving  bool
+}
 
 // RunTask asks for a task to be started. The core answers with one Ended.
 type RunTask struct {
@@ -67,6 +71,10 @@
 	Unhealthy
 	// WrongInstance means that another instance of the worker answered.
 	WrongInstance
+	// NotListening means that the worker's VM refused the connection: the call was not
+	// carried out, and no process takes calls there. What the worker started may still
+	// run until its lease lapses.
+	NotListening
 )
 
 // Answer is the outcome of the call with this number.
@@ -182,6 +190,22 @@
 	OwnerSilence     time.Duration
 }
 
+// Crashed says that the worker's instance ended, with these attempts there. It comes once
+// for each instance, before the Ended of the attempts, which follow when nothing of them
+// can run any more.
+type Crashed struct {
+	Instance Instance
+	Attempts []CrashedAttempt
+}
+
+// CrashedAttempt is an attempt at a worker that crashed. RunTime is the time from its start
+// to the crash. Unconfirmed means that the worker had not answered the start.
+type CrashedAttempt struct {
+	Attempt     msg.AttemptID
+	RunTime     time.Duration
+	Unconfirmed bool
+}
+
 // StateChanged says that Ready or Settled may have changed.
 type StateChanged struct{}
 
@@ -189,6 +213,7 @@
 func (Stop) output()         {}
 func (Hold) output()         {}
 func (Ended) output()        {}
+func (Crashed) output()      {}
 func (StateChanged) output() {}
 func (Restarted) output()    {}
 func (Limited) output()      {}
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -119,8 +119,11 @@
 	unansweredSince time.Time
 	// answers follows the answer times of starts and stops, and the loss of all answers.
 	answers roundtrip.Estimator
-	// leaving is set when the worker has announced that it is ending.
-	leaving bool
+	// leaving is set when the worker has deregistered, announcedLeaving when it has
+	// announced that it is going to end.
+	leaving, announcedLeaving bool
+	// crashReported is set once Crashed was emitted for the instance.
+	crashReported bool
 	// seen is the number of the newest end that was applied, acked that of the
 	// newest one that the worker knows to be applied.
 	seen, acked uint64
@@ -209,7 +212,7 @@
 	c.advance(now)
 	switch in := in.(type) {
 	case Announced:
-		c.announced(in.Instance)
+		c.announced(in)
 	case RunTask:
 		c.runTask(in)
 	case StopTask:
@@ -271,17 +274,25 @@
 
 // announced begins to take over a new instance of the worker. A late announcement of
 // an earlier instance changes nothing.
-func (c *Core) announced(instance Instance) {
-	if instance == c.instance || c.phase != absent && instance.StartedAtMs <= c.instance.StartedAtMs {
+func (c *Core) announced(in Announced) {
+	instance := in.Instance
+	if instance == c.instance {
+		c.announcedLeaving = c.announcedLeaving || in.Leaving
+		return
+	}
+	if c.phase != absent && instance.StartedAtMs <= c.instance.StartedAtMs {
 		return
 	}
 	if c.phase != absent && instance.ID == c.instance.ID {
 		c.restarted(instance.StartedAtMs)
+		c.announcedLeaving = in.Leaving
 		return
 	}
+	c.reportCrash()
 	c.abortAll()
 	fresh := New(c.cfg)
 	fresh.now, fresh.out, fresh.lastCall, fresh.phase, fresh.instance = c.now, c.out, c.lastCall, readingClock, instance
+	fresh.announcedLeaving = in.Leaving
 	*c = *fresh
 }
 
@@ -289,7 +300,9 @@
 // the ID, so that the new instance may have carried out calls that were meant for the
 // earlier one: what it runs decides about the attempts.
 func (c *Core) restarted(startedAtMs int64) {
+	c.reportCrash()
 	c.instance.StartedAtMs, c.phase = startedAtMs, readingClock
+	c.announcedLeaving, c.crashReported = false, false
 	c.clock, c.clockAt, c.lastCallBefore = 0, time.Time{}, c.lastCall
 	c.seen, c.acked, c.holdCall, c.queryCall, c.nextHoldAt = 0, 0, 0, 0, time.Time{}
 	c.silent, c.unanswered, c.leaving = false, 0, false
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -135,6 +135,29 @@
 	// Settled means that no task started by an earlier agent of this worker is
 	// still running.
 	Settled bool
+	// Crashes are recent crashes of the worker that the entry has not been told of on
+	// this link.
+	Crashes []WorkerCrash
+}
+
+// WorkerCrash is the end of a leased worker's instance, without notice, while tasks ran
+// there.
+type WorkerCrash struct {
+	// Instance identifies the instance that ended among those of the worker.
+	Instance int64
+	// Tasks lists the tasks of all entries that ran, the one started last first.
+	Tasks []CrashedTask
+}
+
+// CrashedTask is a task under which a worker crashed.
+type CrashedTask struct {
+	Name    string
+	JobType string
+	// RunTime is the time from its start to the crash.
+	RunTime time.Duration
+	// Unconfirmed means that the worker had not answered the start, which may not have been
+	// carried out.
+	Unconfirmed bool
 }
 
 // Leased reports whether tasks run under a lease that the agent holds.
@@ -266,6 +289,8 @@
 	Size Size
 	// EchoedClock is the newest clock reading of the agent that the entry has received.
 	EchoedClock time.Duration
+	// JobType is the job type of the task.
+	JobType string
 }
 
 // AttemptRef identifies an attempt and gives its latest start, so that the agent
--- a/internal/linkpb/agent.go
+++ b/internal/linkpb/agent.go
@@ -75,9 +75,41 @@
 		Service: m.Service, Slots: uint32(m.Slots), Report: encodeSlots(m.Report),
 		Connections: uint32(m.Connections), Revision: m.Revision, Leaving: m.Leaving,
 		Size: EncodeSize(m.Size), ReleaseAfterNs: int64(m.ReleaseAfter), Labels: m.Labels, Settled: m.Settled,
+		Crashes: encodeCrashes(m.Crashes),
 	}
 }
 
+func encodeCrashes(crashes []msg.WorkerCrash) []*pb.WorkerCrash {
+	var out []*pb.WorkerCrash
+	for _, crash := range crashes {
+		p := &pb.WorkerCrash{Instance: crash.Instance}
+		for _, t := range crash.Tasks {
+			p.Tasks = append(p.Tasks, &pb.CrashedTask{Name: t.Name, JobType: t.JobType, RunTimeNs: int64(t.RunTime), Unconfirmed: t.Unconfirmed})
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// maxCrashes and maxCrashedTasks bound the crashes in a Hello and the tasks of each.
+const maxCrashes, maxCrashedTasks = 64, 64
+
+// decodeCrashes leaves out what exceeds the bounds, so that a corrupt Hello cannot fill the
+// entry's memory.
+func decodeCrashes(in []*pb.WorkerCrash) []msg.WorkerCrash {
+	var crashes []msg.WorkerCrash
+	for _, p := range in[:min(len(in), maxCrashes)] {
+		crash := msg.WorkerCrash{Instance: p.GetInstance()}
+		for _, t := range p.GetTasks()[:min(len(p.GetTasks()), maxCrashedTasks)] {
+			crash.Tasks = append(crash.Tasks, msg.CrashedTask{
+				Name: t.GetName(), JobType: t.GetJobType(), RunTime: time.Duration(t.GetRunTimeNs()), Unconfirmed: t.GetUnconfirmed(),
+			})
+		}
+		crashes = append(crashes, crash)
+	}
+	return crashes
+}
+
 // maxSlots bounds the slots that a worker may announce, so that a corrupt Hello
 // cannot attract unlimited work.
 const maxSlots = 1 << 16
@@ -95,6 +127,7 @@
 		Slots: int(h.GetSlots()), Report: decodeSlots(h.GetReport()), Connections: int(h.GetConnections()),
 		Revision: h.GetRevision(), Leaving: h.GetLeaving(), Size: DecodeSize(h.GetSize()),
 		ReleaseAfter: time.Duration(h.GetReleaseAfterNs()), Labels: h.GetLabels(), Settled: h.GetSettled(),
+		Crashes: decodeCrashes(h.GetCrashes()),
 	}, nil
 }
 
--- a/internal/linkpb/linkpb_test.go
+++ b/internal/linkpb/linkpb_test.go
@@ -28,6 +28,7 @@
 			Worker: "w", FailureDomain: "d", Incarnation: 9, Service: "s", Slots: 8, Report: report,
 			Connections: 64, Size: msg.Size{Cores: 1.5, MemoryBytes: 2, Accelerators: 3}, Revision: 10, Leaving: true,
 			ReleaseAfter: time.Second, Labels: []string{"a", "r1"}, Settled: true,
+			Crashes: []msg.WorkerCrash{{Instance: 7, Tasks: []msg.CrashedTask{{Name: "t.0.0.1", JobType: "quote", RunTime: time.Millisecond, Unconfirmed: true}}}},
 		},
 		msg.Refused{Attempt: id, Reason: verdict.NoSlot, Report: report},
 		msg.Result{Attempt: id, Kind: msg.ResultOK, Payload: []byte("p"), RunTime: time.Second, Report: report},
@@ -54,7 +55,7 @@
 		msg.Dispatch{
 			Attempt: id, Seq: 1, AgentIncarnation: 2, StartBy: 3, RunLimit: 4,
 			Service: "s", Account: "a", Payload: []byte("p"), Acks: []msg.AttemptID{id},
-			Claim: msg.Claim{Waiting: 5, Unfinished: 6}, TaskName: "t", Size: msg.Size{Cores: 0.5}, EchoedClock: 7,
+			Claim: msg.Claim{Waiting: 5, Unfinished: 6}, TaskName: "t", Size: msg.Size{Cores: 0.5}, EchoedClock: 7, JobType: "quote",
 		},
 		msg.Revoke{Attempts: refs},
 		msg.Revoke{Attempts: refs, Stop: true},
--- a/internal/logevent/endpoints.go
+++ b/internal/logevent/endpoints.go
@@ -11,5 +11,6 @@
 	WorkerRestarted     = define(3106, "worker_restarted", zap.InfoLevel, "the worker runs again as a new instance with the ID that it had")
 	LeaseLimited        = define(3107, "lease_limited", zap.WarnLevel, "the lease of the worker is not extended, because tasks there have to end")
 	OrphansStopped      = define(3108, "orphans_stopped", zap.WarnLevel, "the attempts of an entry that has sent back no recent clock are stopped")
+	WorkerCrashed       = define(3109, "worker_crashed", zap.WarnLevel, "the worker crashed while tasks ran there")
 	AttemptsCutOff      = define(3102, "attempts_cut_off", zap.ErrorLevel, "the stop limit passed with attempts at the endpoint")
 )
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -53,6 +53,7 @@
 	workerConflicts     = define("poplarlever_worker_conflicts_total", Counter, "links", "", "Links rejected because a later agent has taken the worker's name.", Entry)
 	entryConflicts      = define("poplarlever_entry_conflicts_total", Counter, "links", "", "Links closed because a later process has taken the entry's name.", Agent)
 	workerHealth        = define("poplarlever_worker_health_changes_total", Counter, "changes", "health", "Changes in how the entry uses a worker: failing, slow, or sound again.", Entry)
+	workerCrashes       = define("poplarlever_worker_crashes_total", Counter, "crashes", "", "Crashes of the worker while tasks ran there.", Agent)
 	lostLines           = define("poplarlever_log_lines_lost_total", Counter, "lines", "", "Log lines that were lost because they were not read in time.", bothRoles)
 	invariantViolations = define("poplarlever_invariant_violations_total", Counter, "violations", "name", "Broken invariants found by the program itself; always a fault of the program.", bothRoles)
 )
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -40,6 +40,7 @@
 	dispatched, started, ended        *labelledCounter
 	workerConflicts, entryConflicts   *labelledCounter
 	workerHealth                      *labelledCounter
+	workerCrashes                     *labelledCounter
 	sent, received                    messageCounters
 	answerTime                        metric.Float64Histogram
 }
@@ -87,6 +88,7 @@
 	}
 	m.dispatched, m.started = m.newCounter(dispatched, "", ""), m.newCounter(started, "", "")
 	m.workerConflicts, m.entryConflicts = m.newCounter(workerConflicts, "", ""), m.newCounter(entryConflicts, "", "")
+	m.workerCrashes = m.newCounter(workerCrashes, "", "")
 	m.workerHealth = m.newCounter(workerHealth, "health")
 	for _, h := range verdict.WorkerHealths() {
 		m.workerHealth.add(h.String(), 0)
@@ -123,6 +125,9 @@
 // WorkerJudged counts a change in how the entry uses a worker.
 func (m *Metrics) WorkerJudged(h verdict.WorkerHealth) { m.workerHealth.add(h.String(), 1) }
 
+// WorkerCrashed counts a crash of a leased worker while tasks ran there.
+func (m *Metrics) WorkerCrashed() { m.workerCrashes.add("", 1) }
+
 // TaskDispatched counts an attempt sent to an agent.
 func (m *Metrics) TaskDispatched() { m.dispatched.add("", 1) }
 
