Give a task up after two crashes under it

Cause: an attempt whose worker crashed is an aborted one, which maxAttempts does not count, so its task started again until the caller's deadline. Nothing counted crashes under a task, least of all over several entries.

At two the job is answered as failed with the new reason worker_crashed (200, state failed), which callers do not send again; at three if a worker had not answered the start, since such a task may not have run there. A job that is sent again to another entry or to one that was restarted is given up by the same count. The retry has the reason crash. Tasks of a job type that never starts twice are as before.

Evidence: without the call of noteCrashes the tests TestTaskThatCrashesWorkersIsGivenUp, TestResentJobIsGivenUp and TestQueuedTaskIsGivenUp fail.

--- /dev/null
+++ b/internal/core/entry/crashes_test.go
@@ -0,0 +1,129 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/poplarlever/poplarlever/internal/core/entry"
+	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
+)
+
+// hello sends the worker's description again, with crashes of it.
+func (w *leasedWorker) hello(leaving bool, crashes ...msg.WorkerCrash) {
+	report := w.report()
+	if leaving {
+		report.Room = msg.Size{}
+	}
+	w.send(msg.Hello{
+		Worker: w.name, Incarnation: w.inc, Service: "s", Slots: 8, Size: msg.Size{Cores: w.cores}, Revision: 8,
+		ReleaseAfter: releaseAfter, Labels: w.labels, Settled: true, Report: report, Leaving: leaving, Crashes: crashes,
+	})
+}
+
+func crashOf(instance int64, ran time.Duration, dispatches ...msg.Dispatch) msg.WorkerCrash {
+	crash := msg.WorkerCrash{Instance: instance}
+	for _, d := range dispatches {
+		crash.Tasks = append(crash.Tasks, msg.CrashedTask{Name: d.TaskName, JobType: d.JobType, RunTime: ran})
+	}
+	return crash
+}
+
+// crash ends the worker's instance under the given attempts.
+func (w *leasedWorker) crash(instance int64, ran time.Duration, dispatches ...msg.Dispatch) {
+	w.hello(true, crashOf(instance, ran, dispatches...))
+	for _, d := range dispatches {
+		w.end(d, msg.ResultAborted)
+	}
+}
+
+// submitNamed submits a job whose tasks are named after it.
+func (f *fixture) submitNamed(name, jobType string, cores float64, tasks int) uint64 {
+	f.jobs++
+	j := entry.Job{ID: f.jobs, Service: "s", JobType: jobType, Account: "a", Deadline: f.now.Add(10 * time.Second)}
+	for i := range tasks {
+		j.Tasks = append(j.Tasks, entry.Task{
+			Name: fmt.Sprintf("%s.0.0.%d", name, i), DeclaredSize: msg.Size{Cores: cores}, DeclaredRunTime: 100 * time.Millisecond,
+		})
+	}
+	f.step(entry.Submit{Job: j})
+	return f.jobs
+}
+
+// Guards against a task that is started again and again although each worker that starts it
+// crashes, until its caller's deadline.
+func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	f := leasedFixture(t)
+	f.submitNamed("deadly", "urgent", 3, 1)
+	for i := range 2 {
+		w := f.linkLeased(fmt.Sprint("w", i), 32)
+		d := f.dispatched()[w.link]
+		f.c.Assert(d, qt.HasLen, 1, qt.Commentf("start %d", i+1))
+		f.c.Assert(d[0].JobType, qt.Equals, "urgent")
+		w.crash(1, 10*time.Millisecond, d[0])
+	}
+	answers := f.answers()
+	f.c.Assert(answers, qt.HasLen, 1)
+	f.c.Check(answers[0].Answer.Outcome, qt.Equals, entry.Failed)
+	f.c.Check(answers[0].Answer.Reason, qt.Equals, verdict.WorkerCrashed)
+	f.c.Check(answers[0].Answer.Verdict, qt.Equals, verdict.MayHaveRun)
+	f.out = nil
+	f.linkLeased("w3", 32)
+	f.advance(time.Second)
+	f.c.Check(f.dispatched(), qt.HasLen, 0)
+}
+
+// Guards against a job that is given up because it shared one crash with the task that
+// caused it, or because a worker crashed under its start before it had answered.
+func TestTaskThatSharedACrashStartsAgain(t *testing.T) {
+	f := leasedFixture(t)
+	f.submitNamed("sound", "urgent", 3, 1)
+	w := f.linkLeased("w1", 32)
+	d := f.dispatched()[w.link]
+	w.crash(1, 10*time.Millisecond, d[0])
+	other := f.linkLeased("w2", 32)
+	d = f.dispatched()[other.link]
+	f.c.Assert(d, qt.HasLen, 1)
+	crash := crashOf(1, 0, d[0])
+	crash.Tasks[0].Unconfirmed = true
+	other.hello(true, crash)
+	other.end(d[0], msg.ResultAborted)
+	third := f.linkLeased("w3", 32)
+	d = f.dispatched()[third.link]
+	f.c.Assert(d, qt.HasLen, 1)
+	third.end(d[0], msg.ResultOK)
+	f.c.Check(f.answers()[0].Answer.Outcome, qt.Equals, entry.Complete)
+}
+
+// Guards against a job that is sent again, to another entry or one that was restarted, and
+// whose task crashes as many workers again.
+func TestResentJobIsGivenUp(t *testing.T) {
+	f := leasedFixture(t)
+	for i := range 2 {
+		w := f.linkLeased(fmt.Sprint("w", i), 32)
+		w.hello(false, crashOf(1, time.Millisecond, msg.Dispatch{TaskName: "deadly.0.0.0", JobType: "urgent"}))
+	}
+	f.out = nil
+	f.submitNamed("deadly", "urgent", 3, 1)
+	answers := f.answers()
+	f.c.Assert(answers, qt.HasLen, 1)
+	f.c.Check(answers[0].Answer.Reason, qt.Equals, verdict.WorkerCrashed)
+	f.c.Check(f.dispatched(), qt.HasLen, 0)
+}
+
+// Guards against a task that waits at this entry while workers crash under it at another,
+// and is started nevertheless.
+func TestQueuedTaskIsGivenUp(t *testing.T) {
+	f := leasedFixture(t)
+	f.submitNamed("deadly", "urgent", 3, 1)
+	for i := range 2 {
+		w := f.linkLeased(fmt.Sprint("w", i), 1)
+		w.hello(false, crashOf(1, time.Millisecond, msg.Dispatch{TaskName: "deadly.0.0.0", JobType: "urgent"}))
+	}
+	answers := f.answers()
+	f.c.Assert(answers, qt.HasLen, 1)
+	f.c.Check(answers[0].Answer.Reason, qt.Equals, verdict.WorkerCrashed)
+}
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -16,6 +16,7 @@
 	"slices"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/crashlog"
 	"github.com/poplarlever/poplarlever/internal/core/limits"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
@@ -103,6 +104,7 @@
 	// revokeTargets lists the workers with queued revokes, in the order of their first
 	// one.
 	revokeTargets []*worker
+	crashes       crashlog.Log
 	draining      bool
 	// drainUntil is when this process stops; set while draining.
 	drainUntil time.Time
@@ -189,6 +191,7 @@
 	now = c.advance(now)
 	c.handlePause(now)
 	c.usage.Expire(now)
+	c.crashes.Expire(now)
 	c.fireTimers(now)
 	c.sendPeers(now)
 	c.checkWorkers(now)
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -106,6 +106,12 @@
 	j.policy, j.submittedAt = c.policy.Services[spec.Service].JobTypes[spec.JobType], now
 	j.timer = timer{job: j, index: -1}
 	c.setLatestStarts(j)
+	if c.knownDeadly(spec) {
+		c.emit(Answered{Job: spec.ID, Answer: Answer{
+			Outcome: Failed, Verdict: verdict.MayHaveRun, Reason: verdict.WorkerCrashed, Message: "workers crashed under a task",
+		}})
+		return
+	}
 	if c.arriveHopeless(now, j) {
 		return
 	}
--- a/internal/core/entry/leased.go
+++ b/internal/core/entry/leased.go
@@ -62,6 +62,10 @@
 	j, t := a.job, &a.job.tasks[a.task]
 	t.verdict = verdict.MayHaveRun
 	t.unresolved--
+	if c.suspect(j, a.task) {
+		c.abortedByCrash(j, a.task)
+		return
+	}
 	c.retryTask(j, a.task, verdict.Aborted)
 }
 
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -271,7 +271,7 @@
 	w.link, w.lastHeard = in.Link, now
 	c.workers.byLink[in.Link] = w
 	w.baseSeq = w.seq
-	c.applyHello(w, in.Hello)
+	c.applyHello(now, w, in.Hello)
 	if w.state == workerSuspect {
 		w.state = workerUp
 	}
@@ -315,7 +315,7 @@
 
 // applyHello applies an agent's description of itself and its endpoint, unless a newer
 // report was applied before.
-func (c *Core) applyHello(w *worker, h msg.Hello) {
+func (c *Core) applyHello(now time.Time, w *worker, h msg.Hello) {
 	if h.Incarnation == w.incarnation && h.Report.Number <= w.lastReport {
 		return
 	}
@@ -326,6 +326,7 @@
 	if h.Leaving {
 		w.state = workerLeaving
 	}
+	c.noteCrashes(now, w, h.Crashes)
 }
 
 func (c *Core) linkDown(now time.Time, id LinkID) {
@@ -347,7 +348,7 @@
 	switch m := in.Message.(type) {
 	case msg.Hello:
 		if m.Worker == w.name && m.Incarnation == w.incarnation {
-			c.applyHello(w, m)
+			c.applyHello(now, w, m)
 		}
 	case msg.Refused:
 		w.report(m.Report)
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -79,6 +79,8 @@
 	// EntryPaused means that the entry's process was paused while the job was in
 	// progress.
 	EntryPaused
+	// WorkerCrashed means that a task was given up because workers crashed under it.
+	WorkerCrashed
 
 	reasonEnd
 )
@@ -92,7 +94,7 @@
 	"would_miss_deadline", "over_quota", "draining", "too_many_requests",
 	"deadline_exceeded", "key_unavailable", "cancelled", "endpoint_error", "endpoint_failed",
 	"worker_lost", "retries_exhausted", "stopped",
-	"result_dropped", "entry_paused",
+	"result_dropped", "entry_paused", "worker_crashed",
 }
 
 // String returns the name used in answers, logs and metrics.
@@ -146,6 +148,8 @@
 	Aborted
 	// EndpointFailure means that the attempt failed and the job allows another one.
 	EndpointFailure
+	// Crash means that the attempt's worker crashed, perhaps because of it.
+	Crash
 
 	retryReasonEnd
 )
@@ -154,6 +158,7 @@
 	"unspecified", "no_slot", "start_by_passed", "worker_leaving",
 	"wrong_incarnation", "wrong_service", "attempt_revoked", "not_reached",
 	"never_started", "task_present", "stale_run", "aborted", "endpoint_failure",
+	"crash",
 }
 
 // String returns the name used on the wire, in logs and in metrics.
