Confine a job type whose tasks crash workers

Cause: new tasks of the job type go to all workers, and the tasks of all other jobs run beside them; tasks that ran at a crash start again beside one another.

A task that crashes its worker does so at about the same point of its run, so at each crash some task of its job type has run for about the same time. core/crashlog confines a job type for which that is improbable (3e-3) at the density of its tasks, to a third of the service's workers, until 5 s after the latest crash under one of its tasks. All entries have the same evidence and choose the same workers by a hash. Other tasks avoid these; the backlog of confined jobs is left out of the forecast of room for others, and they are refused while none of their workers is up. Tasks under which a worker crashed run one at a time at a worker. Event 2008 and a counter tell of it.

In 200 drawn sequences the job type is found in all, at crash 3.5 to 4.4 on average; unrelated crashes confine one in 4 (TestDeadlyJobTypeIsConfined, TestUnrelatedCrashesConfineNothing). Without the change of placement and of the queue TestSuspectsRunApart, TestDeadlyJobTypeLeavesMostWorkersAlone and TestConfinedBacklogRefusesNoOtherJobs fail.

--- a/internal/core/crashlog/crashlog.go
+++ b/internal/core/crashlog/crashlog.go
@@ -1,19 +1,31 @@
-// Package crashlog decides which tasks are given up because workers crash under them.
+// Package crashlog decides which tasks crash the workers that start them, and which job
+// types have such tasks.
 //
 // It is made for a task that crashes each worker that starts it: the worker is gone for
-// seconds, and the tasks of other jobs that ran there are lost with it. The tasks that
-// merely shared the worker must not be blamed for it, and a crash says nothing about which
-// of them was the cause. The rule counts the crashes under each task by its name, which a
-// job that is sent again keeps. It is judged by the workers lost, and by the sound jobs
-// given up.
+// seconds, and the tasks of other jobs that ran there are lost with it. Started again and
+// again, one such task takes a whole service out of use. The tasks that merely shared the
+// worker must not be blamed for it, and a crash says nothing about which of them was the
+// cause.
+//
+// The rule counts the crashes under each task by its name, which a job that is sent again
+// keeps, and gives a task up after maxCrashes. Which job type has such tasks shows sooner: a
+// task that crashes its worker does so at about the same point of its run, so that at each
+// crash a task of that type had run for about the same time. A job type for which that is
+// improbable to be chance is confined to a part of the workers, as long as workers go on to
+// crash under its tasks. The rule is judged by the workers lost, and by the sound jobs given
+// up.
 //
 // The package does no I/O and reads no clock. A Log is not safe for concurrent use.
 package crashlog
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
+	"gonum.org/v1/gonum/mathext"
+
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 )
 
@@ -26,8 +38,28 @@
 	keep = 30 * time.Second
 	// maxTasks bounds the tasks remembered.
 	maxTasks = 4096
+	// compared is the number of latest crashes that are compared, and comparedFor the time
+	// within which they happened.
+	compared    = 12
+	comparedFor = 5 * time.Second
+	// minHits is the number of crashes at which a job type must have been at the same point.
+	minHits = 3
+	// tolerance and minTolerance say which run times count as the same point.
+	tolerance    = 0.15
+	minTolerance = time.Millisecond
+	// background times a run time is the span in which other tasks of the type show how
+	// probable a hit by chance is.
+	background = 4
+	// improbable is the probability of chance below which a job type is confined.
+	improbable = 3e-3
+	// confineFor is how long a job type stays confined after the latest crash under one of
+	// its tasks.
+	confineFor = 5 * time.Second
 )
 
+// JobType names a job type of a service.
+type JobType struct{ Service, Name string }
+
 // crashID identifies a crash.
 type crashID struct {
 	worker   string
@@ -42,23 +74,101 @@
 	latest    time.Time
 }
 
+// event is a crash of a worker.
+type event struct {
+	id      crashID
+	at      time.Time
+	service string
+	tasks   []msg.CrashedTask
+}
+
 // Log holds the recent crashes of all workers. The zero value is empty.
 type Log struct {
 	tasks map[string]*record
 	// order lists the tasks by their first crash, oldest first.
 	order []string
+	// events lists the latest crashes, oldest first.
+	events   []event
+	confined map[JobType]time.Time
 }
 
-// Crashed records a crash of a worker. A crash that was recorded before changes nothing.
-func (l *Log) Crashed(now time.Time, worker string, c msg.WorkerCrash) {
+// Crashed records a crash of a worker, and returns the job types that are confined from now
+// on. A crash that was recorded before changes nothing.
+func (l *Log) Crashed(now time.Time, service, worker string, c msg.WorkerCrash) []JobType {
 	if l.tasks == nil {
-		l.tasks = make(map[string]*record)
+		l.tasks, l.confined = make(map[string]*record), make(map[JobType]time.Time)
+	}
+	e := event{crashID{worker, c.Instance}, now, service, c.Tasks}
+	if slices.ContainsFunc(l.events, func(o event) bool { return o.id == e.id }) {
+		return nil
 	}
 	for _, t := range c.Tasks {
-		if t.Name != "" {
-			l.add(now, t, crashID{worker, c.Instance})
+		if t.Name == "" {
+			continue
+		}
+		l.add(now, t, e.id)
+	}
+	if l.events = append(l.events, e); len(l.events) > compared {
+		l.events = slices.Delete(l.events, 0, 1)
+	}
+	return l.confine(now, e)
+}
+
+// confine confines the job types that the newest crash shows to be its cause.
+func (l *Log) confine(now time.Time, newest event) []JobType {
+	var confined []JobType
+	for _, t := range newest.tasks {
+		jobType := JobType{newest.service, t.JobType}
+		_, already := l.confined[jobType]
+		if !already && !l.recurs(now, newest, t) {
+			continue
+		}
+		l.confined[jobType] = now.Add(confineFor)
+		if !already {
+			confined = append(confined, jobType)
+		}
+	}
+	return confined
+}
+
+// recurs reports whether a task of this type had run for about as long at so many of the
+// latest crashes that it is improbable to be chance.
+func (l *Log) recurs(now time.Time, newest event, t msg.CrashedTask) bool {
+	width := max(minTolerance, time.Duration(tolerance*float64(t.RunTime)))
+	span := max(background*t.RunTime, 2*width)
+	crashes, hits, others := 0, 0, 0
+	for _, e := range l.events {
+		if e.service != newest.service || now.Sub(e.at) > comparedFor {
+			continue
+		}
+		crashes++
+		hit := false
+		for _, o := range e.tasks {
+			switch {
+			case o.JobType != t.JobType:
+			case (o.RunTime - t.RunTime).Abs() <= width:
+				hit = true
+			case o.RunTime <= span:
+				others++
+			}
+		}
+		if hit {
+			hits++
 		}
 	}
+	if hits < minHits {
+		return false
+	}
+	// At least one task in all is assumed, so that few crashes prove little.
+	rate := (float64(others) + 1) / float64(crashes) / (span - 2*width + 1).Seconds()
+	chance := 1 - math.Exp(-rate*(2*width).Seconds())
+	// The newest crash is a hit by choice, of as many as it has tasks.
+	return float64(len(newest.tasks))*tail(hits-1, crashes-1, chance) < improbable
+}
+
+// tail returns the probability of at least this many hits in so many trials.
+func tail(hits, trials int, chance float64) float64 {
+	return mathext.RegIncBeta(float64(hits), float64(trials-hits+1), min(chance, 1))
 }
 
 // add records a crash under a task.
@@ -96,9 +206,42 @@
 	return r != nil && (r.confirmed >= maxCrashes || len(r.crashes) >= maxUnconfirmed)
 }
 
-// Expire forgets old crashes.
-func (l *Log) Expire(now time.Time) {
-	for len(l.order) > 0 && now.Sub(l.tasks[l.order[0]].latest) >= keep {
+// Confining reports whether a job type of the service is confined.
+func (l *Log) Confining(service string) bool {
+	for j := range l.confined {
+		if j.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Confined reports whether tasks of the job type may use a part of the workers only.
+func (l *Log) Confined(j JobType) bool {
+	_, ok := l.confined[j]
+	return ok
+}
+
+// Expire forgets old crashes, and returns the job types that are not confined any more.
+func (l *Log) Expire(now time.Time) []JobType {
+	for len(l.order) > 0 {
+		r := l.tasks[l.order[0]]
+		if now.Sub(r.latest) < keep {
+			break
+		}
 		l.forgetOldest()
 	}
+	var released []JobType
+	for j, until := range l.confined {
+		if !now.Before(until) {
+			delete(l.confined, j)
+			released = append(released, j)
+		}
+	}
+	slices.SortFunc(released, compare)
+	return released
+}
+
+func compare(a, b JobType) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Name, b.Name))
 }
--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -81,6 +81,7 @@
 	a.latestEnd = now.Add(min(remaining, c.cfg.StartWindow) + min(remaining, c.cfg.RunLimit))
 	c.usage.Start(j.spec.Account)
 	a.timer = timer{attempt: a, index: -1}
+	a.suspect = c.suspect(j, i)
 	a.size, a.sentAt = j.spec.Tasks[i].DeclaredSize, now
 	t.attempt = a
 	c.attempts[a.id] = a
--- a/internal/core/entry/crashes_test.go
+++ b/internal/core/entry/crashes_test.go
@@ -127,3 +127,85 @@
 	f.c.Assert(answers, qt.HasLen, 1)
 	f.c.Check(answers[0].Answer.Reason, qt.Equals, verdict.WorkerCrashed)
 }
+
+// Guards against several tasks that may have crashed a worker starting again at one other
+// worker, so that one of them crashes it under all.
+func TestSuspectsRunApart(t *testing.T) {
+	f := leasedFixture(t)
+	f.submitNamed("a", "urgent", 1, 3)
+	w := f.linkLeased("w", 32)
+	d := f.dispatched()[w.link]
+	f.c.Assert(d, qt.HasLen, 3)
+	others := []*leasedWorker{f.linkLeased("x", 32), f.linkLeased("y", 32)}
+	w.crash(1, 10*time.Millisecond, d...)
+	again := f.dispatched()
+	for _, o := range others {
+		f.c.Assert(again[o.link], qt.HasLen, 1)
+	}
+	others[0].end(again[others[0].link][0], msg.ResultOK)
+	f.c.Assert(f.dispatched()[others[0].link], qt.HasLen, 1)
+}
+
+// confine has workers crash under tasks of the patient job type at the same point.
+func (f *fixture) confine(workers []*leasedWorker) {
+	for i, w := range workers {
+		w.hello(false, crashOf(int64(i), 10*time.Millisecond, msg.Dispatch{TaskName: fmt.Sprint("deadly", i), JobType: "patient"}))
+	}
+}
+
+// Guards against a job type with deadly tasks that takes every worker out of use, and the
+// tasks of other jobs with it, and against one that is refused altogether or that stays
+// confined.
+func TestDeadlyJobTypeLeavesMostWorkersAlone(t *testing.T) {
+	f := leasedFixture(t)
+	var workers []*leasedWorker
+	for i := range 9 {
+		workers = append(workers, f.linkLeased(fmt.Sprint("w", i), 32))
+	}
+	f.confine(workers)
+	var confined []entry.JobTypeConfined
+	for _, o := range f.out {
+		if j, ok := o.(entry.JobTypeConfined); ok {
+			confined = append(confined, j)
+		}
+	}
+	f.c.Assert(confined, qt.DeepEquals, []entry.JobTypeConfined{{Service: "s", JobType: "patient", Confined: true}})
+	f.out = nil
+	f.submitNamed("p", "patient", 8, 8)
+	cell := f.dispatched()
+	f.c.Assert(cell, qt.HasLen, 3)
+	f.submitNamed("u", "urgent", 8, 12)
+	for link := range f.dispatched() {
+		f.c.Check(cell[link], qt.HasLen, 0, qt.Commentf("an urgent task shares a worker with those that may crash it"))
+	}
+	for range 12 {
+		f.advance(500 * time.Millisecond)
+		for _, w := range workers {
+			w.hello(false)
+		}
+	}
+	f.out = nil
+	f.submitNamed("q", "patient", 8, 30)
+	f.c.Assert(len(f.dispatched()) > 3, qt.IsTrue)
+}
+
+// Guards against jobs that are refused for want of room while those of a confined job type
+// wait for theirs.
+func TestConfinedBacklogRefusesNoOtherJobs(t *testing.T) {
+	f := leasedFixture(t)
+	var workers []*leasedWorker
+	for i := range 9 {
+		workers = append(workers, f.linkLeased(fmt.Sprint("w", i), 32))
+	}
+	f.confine(workers)
+	for i := range 40 {
+		f.submitNamed(fmt.Sprint("p", i), "patient", 8, 4)
+		f.advance(tick)
+	}
+	f.out = nil
+	job := f.submitNamed("u", "urgent", 8, 4)
+	f.c.Assert(f.dispatched(), qt.Not(qt.HasLen), 0)
+	for _, a := range f.answers() {
+		f.c.Check(a.Job, qt.Not(qt.Equals), job)
+	}
+}
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -191,7 +191,7 @@
 	now = c.advance(now)
 	c.handlePause(now)
 	c.usage.Expire(now)
-	c.crashes.Expire(now)
+	c.expireCrashes(now)
 	c.fireTimers(now)
 	c.sendPeers(now)
 	c.checkWorkers(now)
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -168,6 +168,13 @@
 	Silence  time.Duration
 }
 
+// JobTypeConfined reports that tasks of a job type may use a part of the workers only, or
+// may use all of them again.
+type JobTypeConfined struct {
+	Service, JobType string
+	Confined         bool
+}
+
 func (Send) output()             {}
 func (CloseLink) output()        {}
 func (Answered) output()         {}
@@ -175,6 +182,7 @@
 func (Retried) output()          {}
 func (WorkerConflict) output()   {}
 func (WorkerJudged) output()     {}
+func (JobTypeConfined) output()  {}
 func (AttemptsReleased) output() {}
 
 // Outcome says how a job ended.
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -37,6 +37,8 @@
 	latestUsefulStart time.Time
 	// late is set once the latest start of a job without dispatches has passed.
 	late bool
+	// confined is set while the job's type may use a part of the workers only.
+	confined bool
 	// runs records where tasks of the job ran and for how long, for comparison.
 	runs []taskRun
 	// unfinishedByStep counts the unfinished tasks of each step.
@@ -84,6 +86,8 @@
 	// revokeQueued is set while a revoke of the attempt is queued.
 	revokeQueued bool
 	settled      bool
+	// suspect is set if a worker crashed under an earlier attempt of the task.
+	suspect bool
 	// size is the room that the attempt takes at a leased worker.
 	size msg.Size
 	// sentAt is when the attempt was dispatched; overdue is set once it was found overdue.
@@ -106,6 +110,7 @@
 	j.policy, j.submittedAt = c.policy.Services[spec.Service].JobTypes[spec.JobType], now
 	j.timer = timer{job: j, index: -1}
 	c.setLatestStarts(j)
+	j.confined = c.crashes.Confined(j.typeKey())
 	if c.knownDeadly(spec) {
 		c.emit(Answered{Job: spec.ID, Answer: Answer{
 			Outcome: Failed, Verdict: verdict.MayHaveRun, Reason: verdict.WorkerCrashed, Message: "workers crashed under a task",
--- a/internal/core/entry/overload.go
+++ b/internal/core/entry/overload.go
@@ -62,7 +62,9 @@
 	c.queue.account(j.spec.Service, j.spec.Account)
 	flow := &c.queue.services[j.spec.Service].flow
 	hopeless := c.hopeless(now, j)
-	flow.Arrived(now, j.cores(), j.policy.objective(j.spec).Longest)
+	if !j.confined {
+		flow.Arrived(now, j.cores(), j.policy.objective(j.spec).Longest)
+	}
 	if hopeless {
 		c.emit(Answered{Job: j.spec.ID, Answer: Answer{
 			Outcome: Refused, Verdict: verdict.NotRun, Reason: verdict.WouldMissDeadline,
@@ -142,6 +144,9 @@
 	if j.latestStart.IsZero() {
 		return false
 	}
+	if j.confined {
+		return !c.cellInUse(j.spec.Service)
+	}
 	s := c.queue.services[j.spec.Service]
 	if s.flow.Wait(s.coresAhead(j)) <= j.latestStart.Sub(now) {
 		return false
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -33,10 +33,10 @@
 	bestScore, ties := 0.0, 0
 	p.examined += len(p.workers)
 	for _, w := range p.workers {
-		if !w.fits(size) || !w.allowed(j, task, step) || !w.mayTake(p, j, task, step) {
+		if !w.fits(size) || !w.allowed(j, task, step) || !w.mayTake(p, j, task, step) || !c.mayEndanger(p, w, j, task, step) {
 			continue
 		}
-		score := w.score(j, task, step)
+		score := w.score(j, task, step) - w.cellScore(j)
 		switch {
 		case best == nil || score > bestScore:
 			best, bestScore, ties = w, score, 1
--- a/internal/core/entry/queue.go
+++ b/internal/core/entry/queue.go
@@ -183,7 +183,7 @@
 // late.
 func (s *serviceQueue) inTimeWaiting() bool {
 	for _, a := range s.accounts {
-		if a.ready() && !a.jobs[0].late {
+		if a.ready() && slices.ContainsFunc(a.jobs, func(j *job) bool { return !j.late && !j.confined }) {
 			return true
 		}
 	}
@@ -195,7 +195,7 @@
 	sum := 0.0
 	for _, a := range s.accounts {
 		for _, o := range a.jobs {
-			if o != j && o.compare(j) < 0 {
+			if o != j && !o.confined && o.compare(j) < 0 {
 				sum += o.queuedCores()
 			}
 		}
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -49,6 +49,10 @@
 	outcomes health.Outcomes
 	health   health.Worker
 	slowdown slowdown
+	// suspects counts the outstanding attempts of tasks under which a worker crashed before.
+	suspects int
+	// inCell is set for a worker that tasks of confined job types may use.
+	inCell bool
 	// reported is when the newest report arrived.
 	reported time.Time
 	// seq is the Seq of the latest dispatch. It starts above every Seq that an earlier
@@ -95,11 +99,17 @@
 	if !w.busy() {
 		w.busySince = a.sentAt
 	}
+	if a.suspect {
+		w.suspects++
+	}
 	a.index = len(w.outstanding)
 	w.outstanding = append(w.outstanding, a)
 }
 
 func (w *worker) remove(a *attempt) {
+	if a.suspect {
+		w.suspects--
+	}
 	last := w.outstanding[len(w.outstanding)-1]
 	w.outstanding[a.index] = last
 	last.index = a.index
@@ -327,6 +337,7 @@
 		w.state = workerLeaving
 	}
 	c.noteCrashes(now, w, h.Crashes)
+	c.markCells()
 }
 
 func (c *Core) linkDown(now time.Time, id LinkID) {
@@ -411,6 +422,9 @@
 		c.unlink(w)
 		c.workers.drop(w)
 	}
+	if len(lost) > 0 {
+		c.markCells()
+	}
 }
 
 // maintainLink sends the heartbeat and the acknowledgements that are due on a link.
--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -143,6 +143,8 @@
 		case entry.AttemptsReleased:
 			logevent.AttemptsReleased.Log(l.log, zap.String("worker", out.Worker),
 				zap.Int("attempts", out.Attempts), zap.Int64("silence_ms", out.Silence.Milliseconds()))
+		case entry.JobTypeConfined:
+			logevent.JobTypeConfined.Log(l.log, zap.String("service", out.Service), zap.String("job_type", out.JobType), zap.Bool("confined", out.Confined))
 		case entry.Answered:
 			if w, ok := l.waiters[out.Job]; ok {
 				delete(l.waiters, out.Job)
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -25,6 +25,10 @@
 		l.metrics.Retried(out.Reason)
 	case entry.WorkerJudged:
 		l.metrics.WorkerJudged(out.Health)
+	case entry.JobTypeConfined:
+		if out.Confined {
+			l.metrics.JobTypeConfined()
+		}
 	case entry.WorkerConflict:
 		l.metrics.WorkerConflict()
 	case entry.Send:
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -39,6 +39,7 @@
 	WorkerConflict   = define(2005, "worker_conflict", zap.ErrorLevel, "an older agent process of a worker reconnected after a newer one")
 	WorkerJudged     = define(2006, "worker_judged", zap.InfoLevel, "the entry uses a worker in another way from now on")
 	AttemptsReleased = define(2007, "attempts_released", zap.InfoLevel, "attempts at a worker count as ended without a message from its agent")
+	JobTypeConfined  = define(2008, "job_type_confined", zap.WarnLevel, "the workers that a job type may use changed, since its tasks crash workers")
 	EntryLinked      = define(3001, "entry_linked", zap.InfoLevel, "an entry accepted the link")
 	EntryUnlinked    = define(3002, "entry_unlinked", zap.WarnLevel, "the link to an entry broke or could not be opened")
 	EndpointJoined   = define(3003, "endpoint_joined", zap.InfoLevel, "the endpoint announced itself")
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -54,6 +54,7 @@
 	entryConflicts      = define("poplarlever_entry_conflicts_total", Counter, "links", "", "Links closed because a later process has taken the entry's name.", Agent)
 	workerHealth        = define("poplarlever_worker_health_changes_total", Counter, "changes", "health", "Changes in how the entry uses a worker: failing, slow, or sound again.", Entry)
 	workerCrashes       = define("poplarlever_worker_crashes_total", Counter, "crashes", "", "Crashes of the worker while tasks ran there.", Agent)
+	jobTypesConfined    = define("poplarlever_job_types_confined_total", Counter, "changes", "", "Job types confined to a part of the workers because their tasks crash workers.", Entry)
 	lostLines           = define("poplarlever_log_lines_lost_total", Counter, "lines", "", "Log lines that were lost because they were not read in time.", bothRoles)
 	invariantViolations = define("poplarlever_invariant_violations_total", Counter, "violations", "name", "Broken invariants found by the program itself; always a fault of the program.", bothRoles)
 )
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -40,7 +40,7 @@
 	dispatched, started, ended        *labelledCounter
 	workerConflicts, entryConflicts   *labelledCounter
 	workerHealth                      *labelledCounter
-	workerCrashes                     *labelledCounter
+	workerCrashes, jobTypesConfined   *labelledCounter
 	sent, received                    messageCounters
 	answerTime                        metric.Float64Histogram
 }
@@ -88,7 +88,7 @@
 	}
 	m.dispatched, m.started = m.newCounter(dispatched, "", ""), m.newCounter(started, "", "")
 	m.workerConflicts, m.entryConflicts = m.newCounter(workerConflicts, "", ""), m.newCounter(entryConflicts, "", "")
-	m.workerCrashes = m.newCounter(workerCrashes, "", "")
+	m.workerCrashes, m.jobTypesConfined = m.newCounter(workerCrashes, "", ""), m.newCounter(jobTypesConfined, "", "")
 	m.workerHealth = m.newCounter(workerHealth, "health")
 	for _, h := range verdict.WorkerHealths() {
 		m.workerHealth.add(h.String(), 0)
@@ -128,6 +128,9 @@
 // WorkerCrashed counts a crash of a leased worker while tasks ran there.
 func (m *Metrics) WorkerCrashed() { m.workerCrashes.add("", 1) }
 
+// JobTypeConfined counts a job type whose tasks are confined to a part of the workers.
+func (m *Metrics) JobTypeConfined() { m.jobTypesConfined.add("", 1) }
+
 // TaskDispatched counts an attempt sent to an agent.
 func (m *Metrics) TaskDispatched() { m.dispatched.add("", 1) }
 
