Judge no worker slow by the silence of a crash

Cause: the tasks of a crashed worker make no progress until its lease has lapsed, which the rule on silent tasks takes for slowness; the judgement outlives the instance.

Change: a reported crash ends the judgement, and none is made until the worker takes tasks again.

TestCrashIsNotSlowness fails without the change.

--- a/internal/core/entry/crashes.go
+++ b/internal/core/entry/crashes.go
@@ -33,6 +33,9 @@
 			c.emit(JobTypeConfined{Service: jobType.Service, JobType: jobType.Name, Confined: true})
 		}
 	}
+	// The silence of a worker that crashed says nothing about its speed.
+	w.slowdown = slowdown{}
+	w.crashed = w.hello.Leaving
 	c.applyConfinement()
 	c.giveUpQueued()
 }
--- a/internal/core/entry/crashes_test.go
+++ b/internal/core/entry/crashes_test.go
@@ -209,3 +209,26 @@
 		f.c.Check(a.Job, qt.Not(qt.Equals), job)
 	}
 }
+
+// Guards against a worker that is back after a crash and gets trial tasks only, for seconds,
+// because its silence counted as slowness.
+func TestCrashIsNotSlowness(t *testing.T) {
+	f := leasedFixture(t)
+	w := f.linkLeased("w", 32)
+	f.submitNamed("a", "urgent", 3, 1)
+	f.submitNamed("b", "urgent", 3, 1)
+	d := f.dispatched()[w.link]
+	f.c.Assert(d, qt.HasLen, 2)
+	f.advance(300 * time.Millisecond)
+	w.hello(true, crashOf(1, 10*time.Millisecond, d...))
+	f.advance(900 * time.Millisecond)
+	for _, a := range d {
+		w.end(a, msg.ResultAborted)
+	}
+	f.linkLeased("x", 32)
+	f.advance(100 * time.Millisecond)
+	w.hello(false)
+	f.out = nil
+	f.submitNamed("c", "urgent", 8, 8)
+	f.c.Assert(len(f.dispatched()[w.link]) >= 2, qt.IsTrue)
+}
--- a/internal/core/entry/slowdown.go
+++ b/internal/core/entry/slowdown.go
@@ -148,7 +148,7 @@
 // can take over.
 func (c *Core) checkOverdue(now time.Time) {
 	for _, w := range c.workers.list {
-		if !w.hello.Leased() || !w.busy() {
+		if !w.hello.Leased() || !w.busy() || w.crashed {
 			continue
 		}
 		if !w.slowdown.slow() && health.Silent(w.runningSinceLastEnd(now)) {
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -49,6 +49,8 @@
 	outcomes health.Outcomes
 	health   health.Worker
 	slowdown slowdown
+	// crashed is set from a crash of the worker until it takes tasks again.
+	crashed bool
 	// suspects counts the outstanding attempts of tasks under which a worker crashed before.
 	suspects int
 	// inCell is set for a worker that tasks of confined job types may use.
@@ -336,6 +338,7 @@
 	if h.Leaving {
 		w.state = workerLeaving
 	}
+	w.crashed = w.crashed && h.Leaving
 	c.noteCrashes(now, w, h.Crashes)
 	c.markCells()
 }
