Pace the holds of a worker that refuses connections

Cause: a hold without an answer is followed by the next at once, which assumes that it has timed out; a refused connection takes no time.

Change: 10 ms between holds while connections are refused. A refusal also says more than a lost answer, so the worker counts as silent, and as crashed, after 50 ms in place of 200.

--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -128,7 +128,12 @@
 		if c.unanswered++; c.unanswered == 1 {
 			c.unansweredSince = c.now
 		}
-		if c.unanswered >= silentAfterHolds && c.now.Sub(c.unansweredSince) >= silentAfter {
+		after := silentAfter
+		if in.Status == NotListening {
+			after = refusedAfter
+			c.nextHoldAt = c.now.Add(refusedPause)
+		}
+		if c.unanswered >= silentAfterHolds && c.now.Sub(c.unansweredSince) >= after {
 			c.setSilent(true)
 			c.nextHoldAt = c.now.Add(c.cfg.ProbeInterval)
 		}
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -70,6 +70,11 @@
 	// milliseconds.
 	silentAfterHolds = 3
 	silentAfter      = 200 * time.Millisecond
+	// refusedAfter takes the place of silentAfter while the worker's VM refuses
+	// connections, and refusedPause is the pause between holds then: a refusal comes within
+	// a fraction of a millisecond.
+	refusedAfter = 50 * time.Millisecond
+	refusedPause = 10 * time.Millisecond
 	// lostAfterHolds is the number of holds in a row that must omit a running task
 	// before it counts as lost.
 	lostAfterHolds = 2
