Start a task elsewhere at once when its start was refused

Tasks that an agent sent to its worker after the crash, and before it counted as silent, started elsewhere only when the lease had lapsed, 1.1 s later.

Cause: a start whose connection the VM refused was treated as one without an answer, which may be carried out later.

Change: it is reported as not reached. The request was never sent: the transport sends a request once (its body cannot be rewound), and another connection is tried only when nothing was written to the first.

--- a/internal/core/lease/execution.go
+++ b/internal/core/lease/execution.go
@@ -151,7 +151,7 @@
 	case OK:
 		e.state, e.ran = running, true
 		e.conclusiveAfter = c.lastCall
-	case NoAnswer, NotListening:
+	case NoAnswer:
 		e.state = startUnknown
 		// Only a hold that begins from now on shows whether it runs.
 		e.conclusiveAfter = c.lastCall
