Let no worker that shrinks end its agent

A worker's capacity may shrink while tasks run, so that these take more than it has. A task that needed none of the resource that was overdrawn was then started, rightly, and violated the invariant that all attempts fit into the capacity: counted in production, fatal in tests.

Cause: the invariant was written for a capacity that only a start can exceed.

Change: it covers the resources that the started attempt uses. Entries learn of the new size by Hello as before.

--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -101,7 +101,7 @@
 	c.attempts[d.Attempt] = &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size, taskName: d.TaskName, jobType: d.JobType}
 	c.running++
 	c.used = c.used.Plus(d.Size)
-	c.checkUsage()
+	c.checkUsage(d.Size)
 	name := msg.EndpointTaskName(c.cfg.Incarnation, d.Attempt)
 	if c.endpoint.leased {
 		name = d.TaskName
@@ -113,10 +113,12 @@
 	})
 }
 
-// checkUsage checks that the attempts fit into the endpoint's capacity.
-func (c *Core) checkUsage() {
+// checkUsage checks that the attempts fit into the endpoint's capacity once one of this size
+// has been added. A leased worker that has shrunk stays over its capacity in the resources
+// that the attempt does not use.
+func (c *Core) checkUsage(added msg.Size) {
 	if c.endpoint.leased {
-		invariant.Check(c.used.FitsIn(c.endpoint.size), invariant.SlotsInRange, "agent %s uses %v of %v", c.cfg.Worker, c.used, c.endpoint.size)
+		invariant.Check(c.used.Of(added).FitsIn(c.endpoint.size), invariant.SlotsInRange, "agent %s uses %v of %v", c.cfg.Worker, c.used, c.endpoint.size)
 		return
 	}
 	used, limit := c.running+c.endpoint.blockedSlots(), c.endpoint.capacity()
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// Of returns the part of s in the resources of which o has some.
+func (s Size) Of(o Size) Size {
+	if o.Cores <= 0 {
+		s.Cores = 0
+	}
+	if o.MemoryBytes == 0 {
+		s.MemoryBytes = 0
+	}
+	if o.Accelerators == 0 {
+		s.Accelerators = 0
+	}
+	return s
+}
+
 // coreTolerance absorbs rounding errors in sums of cores. It is below the
 // smallest significant amount of cores.
 const coreTolerance = 1e-6
