Let an explained crash be no evidence against others

Cause: each crash was tested anew against every job type, also one that a confined job type explained; and each crash with any task of a confined type kept it confined, wherever its tasks ran.

Change: a crash at the known point of a confined job type's runs extends that confinement and is no evidence against another type. Of several types only the least probable by chance is confined.

--- a/internal/core/crashlog/crashlog.go
+++ b/internal/core/crashlog/crashlog.go
@@ -12,8 +12,8 @@
 // task that crashes its worker does so at about the same point of its run, so that at each
 // crash a task of that type had run for about the same time. A job type for which that is
 // improbable to be chance is confined to a part of the workers, as long as workers go on to
-// crash under its tasks. The rule is judged by the workers lost, and by the sound jobs given
-// up.
+// crash at that point of its tasks' runs. Such crashes are no evidence against other job
+// types. The rule is judged by the workers lost, and by the sound jobs given up.
 //
 // The package does no I/O and reads no clock. A Log is not safe for concurrent use.
 package crashlog
@@ -52,8 +52,8 @@
 	background = 4
 	// improbable is the probability of chance below which a job type is confined.
 	improbable = 3e-3
-	// confineFor is how long a job type stays confined after the latest crash under one of
-	// its tasks.
+	// confineFor is how long a job type stays confined after the latest crash that it
+	// explains.
 	confineFor = 5 * time.Second
 )
 
@@ -80,6 +80,27 @@
 	at      time.Time
 	service string
 	tasks   []msg.CrashedTask
+	// explained is set when a confined job type explains the crash.
+	explained bool
+}
+
+// confinement says until when a job type is confined, and at which point of their runs its
+// tasks crash workers.
+type confinement struct {
+	until time.Time
+	point time.Duration
+}
+
+// hit reports whether a task of the type had run for about this time.
+func (e *event) hit(jobType string, point time.Duration) bool {
+	return slices.ContainsFunc(e.tasks, func(t msg.CrashedTask) bool {
+		return t.JobType == jobType && (t.RunTime-point).Abs() <= widthOf(point)
+	})
+}
+
+// widthOf returns by how much run times at the same point may differ.
+func widthOf(point time.Duration) time.Duration {
+	return max(minTolerance, time.Duration(tolerance*float64(point)))
 }
 
 // Log holds the recent crashes of all workers. The zero value is empty.
@@ -89,16 +110,16 @@
 	order []string
 	// events lists the latest crashes, oldest first.
 	events   []event
-	confined map[JobType]time.Time
+	confined map[JobType]confinement
 }
 
 // Crashed records a crash of a worker, and returns the job types that are confined from now
 // on. A crash that was recorded before changes nothing.
 func (l *Log) Crashed(now time.Time, service, worker string, c msg.WorkerCrash) []JobType {
 	if l.tasks == nil {
-		l.tasks, l.confined = make(map[string]*record), make(map[JobType]time.Time)
+		l.tasks, l.confined = make(map[string]*record), make(map[JobType]confinement)
 	}
-	e := event{crashID{worker, c.Instance}, now, service, c.Tasks}
+	e := event{id: crashID{worker, c.Instance}, at: now, service: service, tasks: c.Tasks}
 	if slices.ContainsFunc(l.events, func(o event) bool { return o.id == e.id }) {
 		return nil
 	}
@@ -111,59 +132,72 @@
 	if l.events = append(l.events, e); len(l.events) > compared {
 		l.events = slices.Delete(l.events, 0, 1)
 	}
-	return l.confine(now, e)
+	return l.confine(now, &l.events[len(l.events)-1])
 }
 
-// confine confines the job types that the newest crash shows to be its cause.
-func (l *Log) confine(now time.Time, newest event) []JobType {
-	var confined []JobType
-	for _, t := range newest.tasks {
-		jobType := JobType{newest.service, t.JobType}
-		_, already := l.confined[jobType]
-		if !already && !l.recurs(now, newest, t) {
-			continue
+// confine extends the confinement of a job type that explains the newest crash or, if there
+// is none, confines the one that most probably does, if any.
+func (l *Log) confine(now time.Time, newest *event) []JobType {
+	for j, k := range l.confined {
+		if j.Service == newest.service && newest.hit(j.Name, k.point) {
+			newest.explained = true
+			l.confined[j] = confinement{now.Add(confineFor), k.point}
 		}
-		l.confined[jobType] = now.Add(confineFor)
-		if !already {
-			confined = append(confined, jobType)
+	}
+	if newest.explained {
+		return nil
+	}
+	least, cause := improbable, msg.CrashedTask{}
+	for _, t := range newest.tasks {
+		if p := l.chance(now, newest, t); p < least {
+			least, cause = p, t
 		}
 	}
-	return confined
+	jobType := JobType{newest.service, cause.JobType}
+	if least >= improbable {
+		return nil
+	}
+	for i := range l.events {
+		e := &l.events[i]
+		e.explained = e.explained || e.service == newest.service && e.hit(cause.JobType, cause.RunTime)
+	}
+	_, already := l.confined[jobType]
+	l.confined[jobType] = confinement{now.Add(confineFor), cause.RunTime}
+	if already {
+		return nil
+	}
+	return []JobType{jobType}
 }
 
-// recurs reports whether a task of this type had run for about as long at so many of the
-// latest crashes that it is improbable to be chance.
-func (l *Log) recurs(now time.Time, newest event, t msg.CrashedTask) bool {
-	width := max(minTolerance, time.Duration(tolerance*float64(t.RunTime)))
+// chance returns the probability that tasks of this type had run for about as long at so
+// many of the latest crashes without being their cause.
+func (l *Log) chance(now time.Time, newest *event, t msg.CrashedTask) float64 {
+	width := widthOf(t.RunTime)
 	span := max(background*t.RunTime, 2*width)
 	crashes, hits, others := 0, 0, 0
-	for _, e := range l.events {
-		if e.service != newest.service || now.Sub(e.at) > comparedFor {
+	for i := range l.events {
+		e := &l.events[i]
+		if e.explained || e.service != newest.service || now.Sub(e.at) > comparedFor {
 			continue
 		}
 		crashes++
-		hit := false
+		if e.hit(t.JobType, t.RunTime) {
+			hits++
+		}
 		for _, o := range e.tasks {
-			switch {
-			case o.JobType != t.JobType:
-			case (o.RunTime - t.RunTime).Abs() <= width:
-				hit = true
-			case o.RunTime <= span:
+			if o.JobType == t.JobType && (o.RunTime-t.RunTime).Abs() > width && o.RunTime <= span {
 				others++
 			}
 		}
-		if hit {
-			hits++
-		}
 	}
 	if hits < minHits {
-		return false
+		return 1
 	}
 	// At least one task in all is assumed, so that few crashes prove little.
 	rate := (float64(others) + 1) / float64(crashes) / (span - 2*width + 1).Seconds()
 	chance := 1 - math.Exp(-rate*(2*width).Seconds())
 	// The newest crash is a hit by choice, of as many as it has tasks.
-	return float64(len(newest.tasks))*tail(hits-1, crashes-1, chance) < improbable
+	return float64(len(newest.tasks)) * tail(hits-1, crashes-1, chance)
 }
 
 // tail returns the probability of at least this many hits in so many trials.
@@ -232,8 +266,8 @@
 		l.forgetOldest()
 	}
 	var released []JobType
-	for j, until := range l.confined {
-		if !now.Before(until) {
+	for j, k := range l.confined {
+		if !now.Before(k.until) {
 			delete(l.confined, j)
 			released = append(released, j)
 		}
--- a/internal/core/crashlog/crashlog_test.go
+++ b/internal/core/crashlog/crashlog_test.go
@@ -132,6 +132,29 @@
 	c.Check(wrong <= runs/20, qt.IsTrue, qt.Commentf("%d of %d", wrong, runs))
 }
 
+// Guards against a second job type that is confined because its tasks run wherever those of
+// the first crash workers.
+func TestExplainedCrashesConfineNoOtherType(t *testing.T) {
+	c := qt.New(t)
+	wrong := 0
+	const runs = 200
+	for seed := range uint64(runs) {
+		tr := traffic{rand.New(rand.NewPCG(seed, 3))}
+		var l crashlog.Log
+		serial := 0
+		next := func() string { serial++; return fmt.Sprint(serial) }
+		for i := range 30 {
+			tasks := append(tr.running(next), msg.CrashedTask{Name: next(), JobType: "quote", RunTime: 10 * time.Millisecond})
+			l.Crashed(start.Add(time.Duration(i)*300*time.Millisecond), "s", fmt.Sprint("w", i%11), crashOf(int64(i), tasks...))
+		}
+		if l.Confined(crashlog.JobType{Service: "s", Name: "offer"}) || l.Confined(crashlog.JobType{Service: "s", Name: "settle"}) {
+			wrong++
+		}
+	}
+	t.Logf("another type is confined in %d of %d", wrong, runs)
+	c.Check(wrong <= runs/20, qt.IsTrue, qt.Commentf("%d of %d", wrong, runs))
+}
+
 // Guards against a job type that stays confined after its last deadly task, or is released
 // while workers go on to crash under its tasks.
 func TestConfinementEnds(t *testing.T) {
