Merge the handling of tasks that crash their workers

Resolved by hand: a restart under the same ID counts as a crash of the earlier instance; the check of an announced instance passes on that the worker is leaving.

--- a/internal/agentd/instance.go
+++ b/internal/agentd/instance.go
@@ -63,6 +63,7 @@
 		}
 		a.Leaving = a.Leaving || d.present.Leaving
 		d.present, d.presentAt = a, now
+		d.core.Step(now, lease.Announced{Instance: a.Instance, Leaving: a.Leaving})
 		d.pass(now)
 	case !d.answered:
 		d.adopt(now, a)
@@ -109,7 +110,7 @@
 	d.present, d.presentAt, d.answered, d.candidate, d.leftAt = a, now, answered, nil, time.Time{}
 	d.adoptions++
 	d.worker.SetAddress(a.Address)
-	d.core.Step(now, lease.Announced{Instance: a.Instance, Replaces: true})
+	d.core.Step(now, lease.Announced{Instance: a.Instance, Replaces: true, Leaving: a.Leaving})
 	d.reportLease(now)
 	d.pass(now)
 }
--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -79,6 +79,7 @@
 	a.latestEnd = now.Add(min(remaining, c.cfg.StartWindow) + min(remaining, c.cfg.RunLimit))
 	c.usage.Start(j.spec.Account)
 	a.timer = timer{attempt: a, index: -1}
+	a.suspect = c.suspect(j, i)
 	a.size, a.sentAt = j.spec.Tasks[i].DeclaredSize, now
 	t.attempt = a
 	c.attempts[a.id] = a
@@ -88,7 +89,7 @@
 		Attempt: a.id, Seq: w.seq, AgentIncarnation: w.incarnation, StartBy: a.startBy,
 		RunLimit: min(remaining, c.cfg.RunLimit), Service: j.spec.Service,
 		Account: j.spec.Account, Payload: j.spec.Tasks[i].Payload, Acks: w.acks.take(),
-		Claim: c.nextClaim(w), TaskName: j.spec.Tasks[i].Name, Size: a.size, EchoedClock: w.echoClock(),
+		Claim: c.nextClaim(w), TaskName: j.spec.Tasks[i].Name, Size: a.size, EchoedClock: w.echoClock(), JobType: j.spec.JobType,
 	})
 	c.emitProgress(j)
 }
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -49,6 +49,12 @@
 	outcomes health.Outcomes
 	health   health.Worker
 	slowdown slowdown
+	// crashed is set from a crash of the worker until it takes tasks again.
+	crashed bool
+	// suspects counts the outstanding attempts of tasks under which a worker crashed before.
+	suspects int
+	// inCell is set for a worker that tasks of confined job types may use.
+	inCell bool
 	// reported is when the newest report arrived.
 	reported time.Time
 	// seq is the Seq of the latest dispatch. It starts above every Seq that an earlier
@@ -95,11 +101,17 @@
 	if !w.busy() {
 		w.busySince = a.sentAt
 	}
+	if a.suspect {
+		w.suspects++
+	}
 	a.index = len(w.outstanding)
 	w.outstanding = append(w.outstanding, a)
 }
 
 func (w *worker) remove(a *attempt) {
+	if a.suspect {
+		w.suspects--
+	}
 	last := w.outstanding[len(w.outstanding)-1]
 	w.outstanding[a.index] = last
 	last.index = a.index
@@ -271,7 +283,7 @@
 	w.link, w.lastHeard = in.Link, now
 	c.workers.byLink[in.Link] = w
 	w.baseSeq = w.seq
-	c.applyHello(w, in.Hello)
+	c.applyHello(now, w, in.Hello)
 	if w.state == workerSuspect {
 		w.state = workerUp
 	}
@@ -315,7 +327,7 @@
 
 // applyHello applies an agent's description of itself and its endpoint, unless a newer
 // report was applied before.
-func (c *Core) applyHello(w *worker, h msg.Hello) {
+func (c *Core) applyHello(now time.Time, w *worker, h msg.Hello) {
 	if h.Incarnation == w.incarnation && h.Report.Number <= w.lastReport {
 		return
 	}
@@ -326,6 +338,9 @@
 	if h.Leaving {
 		w.state = workerLeaving
 	}
+	w.crashed = w.crashed && h.Leaving
+	c.noteCrashes(now, w, h.Crashes)
+	c.markCells()
 }
 
 func (c *Core) linkDown(now time.Time, id LinkID) {
@@ -347,7 +362,7 @@
 	switch m := in.Message.(type) {
 	case msg.Hello:
 		if m.Worker == w.name && m.Incarnation == w.incarnation {
-			c.applyHello(w, m)
+			c.applyHello(now, w, m)
 		}
 	case msg.Refused:
 		w.report(m.Report)
@@ -410,6 +425,9 @@
 		c.unlink(w)
 		c.workers.drop(w)
 	}
+	if len(lost) > 0 {
+		c.markCells()
+	}
 }
 
 // maintainLink sends the heartbeat and the acknowledgements that are due on a link.
--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -94,7 +94,7 @@
 	}
 	delete(c.byCall, in.Call)
 	c.updateClock(in)
-	if in.Status == NoAnswer {
+	if in.Status == NoAnswer || in.Status == NotListening {
 		c.answers.Unanswered()
 	} else {
 		c.answers.Answered(c.now.Sub(waiting.sentAt))
@@ -128,10 +128,16 @@
 		if c.unanswered++; c.unanswered == 1 {
 			c.unansweredSince = c.now
 		}
-		if c.unanswered >= silentAfterHolds && c.now.Sub(c.unansweredSince) >= silentAfter {
+		after := silentAfter
+		if in.Status == NotListening {
+			after = refusedAfter
+			c.nextHoldAt = c.now.Add(refusedPause)
+		}
+		if c.unanswered >= silentAfterHolds && c.now.Sub(c.unansweredSince) >= after {
 			c.setSilent(true)
 			c.nextHoldAt = c.now.Add(c.cfg.ProbeInterval)
 		}
+		c.noteUnreachable(in.Status)
 		return
 	}
 	switch c.phase {
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -70,6 +70,11 @@
 	// milliseconds.
 	silentAfterHolds = 3
 	silentAfter      = 200 * time.Millisecond
+	// refusedAfter takes the place of silentAfter while the worker's VM refuses
+	// connections, and refusedPause is the pause between holds then: a refusal comes within
+	// a fraction of a millisecond.
+	refusedAfter = 50 * time.Millisecond
+	refusedPause = 10 * time.Millisecond
 	// lostAfterHolds is the number of holds in a row that must omit a running task
 	// before it counts as lost.
 	lostAfterHolds = 2
@@ -126,8 +131,11 @@
 	unansweredSince time.Time
 	// answers follows the answer times of starts and stops, and the loss of all answers.
 	answers roundtrip.Estimator
-	// leaving is set when the worker has announced that it is ending.
-	leaving bool
+	// leaving is set when the worker has deregistered, announcedLeaving when it has
+	// announced that it is going to end.
+	leaving, announcedLeaving bool
+	// crashReported is set once Crashed was emitted for the instance.
+	crashReported bool
 	// seen is the number of the newest end that was applied, acked that of the
 	// newest one that the worker knows to be applied.
 	seen, acked uint64
@@ -279,17 +287,24 @@
 // an earlier instance changes nothing.
 func (c *Core) announced(in Announced) {
 	known := in.Instance == c.instance && !(in.Replaces && c.leaving)
-	if known || c.phase != absent && !in.Replaces && in.Instance.StartedAtMs <= c.instance.StartedAtMs {
+	if known {
+		c.announcedLeaving = c.announcedLeaving || in.Leaving
+		return
+	}
+	if c.phase != absent && !in.Replaces && in.Instance.StartedAtMs <= c.instance.StartedAtMs {
 		return
 	}
 	if c.phase != absent && in.Instance.ID == c.instance.ID {
 		c.restarted(in.Instance.StartedAtMs)
+		c.announcedLeaving = in.Leaving
 		return
 	}
+	c.reportCrash()
 	c.abortAll()
 	fresh := New(c.cfg)
 	fresh.now, fresh.out, fresh.lastCall, fresh.phase, fresh.instance = c.now, c.out, c.lastCall, readingClock, in.Instance
 	fresh.lastCallBefore = c.lastCall
+	fresh.announcedLeaving = in.Leaving
 	*c = *fresh
 }
 
@@ -297,7 +312,9 @@
 // the ID, so that the new instance may have carried out calls that were meant for the
 // earlier one: what it runs decides about the attempts.
 func (c *Core) restarted(startedAtMs int64) {
+	c.reportCrash()
 	c.instance.StartedAtMs, c.phase = startedAtMs, readingClock
+	c.announcedLeaving, c.crashReported = false, false
 	c.clock, c.clockAt, c.lastCallBefore = 0, time.Time{}, c.lastCall
 	c.seen, c.acked, c.holdCall, c.queryCall, c.nextHoldAt = 0, 0, 0, 0, time.Time{}
 	c.silent, c.unanswered, c.leaving = false, 0, false
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// Of returns the part of s in the resources of which o has some.
+func (s Size) Of(o Size) Size {
+	if o.Cores <= 0 {
+		s.Cores = 0
+	}
+	if o.MemoryBytes == 0 {
+		s.MemoryBytes = 0
+	}
+	if o.Accelerators == 0 {
+		s.Accelerators = 0
+	}
+	return s
+}
+
 // coreTolerance absorbs rounding errors in sums of cores. It is below the
 // smallest significant amount of cores.
 const coreTolerance = 1e-6
@@ -135,6 +149,29 @@
 	// Settled means that no task started by an earlier agent of this worker is
 	// still running.
 	Settled bool
+	// Crashes are recent crashes of the worker that the entry has not been told of on
+	// this link.
+	Crashes []WorkerCrash
+}
+
+// WorkerCrash is the end of a leased worker's instance, without notice, while tasks ran
+// there.
+type WorkerCrash struct {
+	// Instance identifies the instance that ended among those of the worker.
+	Instance int64
+	// Tasks lists the tasks of all entries that ran, the one started last first.
+	Tasks []CrashedTask
+}
+
+// CrashedTask is a task under which a worker crashed.
+type CrashedTask struct {
+	Name    string
+	JobType string
+	// RunTime is the time from its start to the crash.
+	RunTime time.Duration
+	// Unconfirmed means that the worker had not answered the start, which may not have been
+	// carried out.
+	Unconfirmed bool
 }
 
 // Leased reports whether tasks run under a lease that the agent holds.
@@ -266,6 +303,8 @@
 	Size Size
 	// EchoedClock is the newest clock reading of the agent that the entry has received.
 	EchoedClock time.Duration
+	// JobType is the job type of the task.
+	JobType string
 }
 
 // AttemptRef identifies an attempt and gives its latest start, so that the agent
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -41,6 +41,7 @@
 	workerConflicts, entryConflicts   *labelledCounter
 	workerHealth                      *labelledCounter
 	announceRefusals                  *labelledCounter
+	workerCrashes, jobTypesConfined   *labelledCounter
 	sent, received                    messageCounters
 	answerTime                        metric.Float64Histogram
 }
@@ -89,6 +90,7 @@
 	m.dispatched, m.started = m.newCounter(dispatched, "", ""), m.newCounter(started, "", "")
 	m.workerConflicts, m.entryConflicts = m.newCounter(workerConflicts, "", ""), m.newCounter(entryConflicts, "", "")
 	m.announceRefusals = m.newCounter(announceRefusals, "", "")
+	m.workerCrashes, m.jobTypesConfined = m.newCounter(workerCrashes, "", ""), m.newCounter(jobTypesConfined, "", "")
 	m.workerHealth = m.newCounter(workerHealth, "health")
 	for _, h := range verdict.WorkerHealths() {
 		m.workerHealth.add(h.String(), 0)
@@ -129,6 +131,12 @@
 // than the one that answers.
 func (m *Metrics) AnnouncementRefused() { m.announceRefusals.add("", 1) }
 
+// WorkerCrashed counts a crash of a leased worker while tasks ran there.
+func (m *Metrics) WorkerCrashed() { m.workerCrashes.add("", 1) }
+
+// JobTypeConfined counts a job type whose tasks are confined to a part of the workers.
+func (m *Metrics) JobTypeConfined() { m.jobTypesConfined.add("", 1) }
+
 // TaskDispatched counts an attempt sent to an agent.
 func (m *Metrics) TaskDispatched() { m.dispatched.add("", 1) }
 
