Count crashes at the same moment as one piece of evidence

Callers would see: a job type confined to a third of the workers, for 5 s, because a rack was lost.

Cause: the tasks of one job start together at several workers. When these crash at the same moment, all had run for the same time, which is what a deadly task looks like.

Change: crashes and hits within 100 ms of each other count once.

Two tests had all workers crash in one instant; theirs are 300 ms apart now.

--- a/internal/core/crashlog/crashlog.go
+++ b/internal/core/crashlog/crashlog.go
@@ -42,6 +42,9 @@
 	// within which they happened.
 	compared    = 12
 	comparedFor = 5 * time.Second
+	// sameMoment is the span within which crashes have one cause outside the workers, such as
+	// a lost rack. It covers the differences between the times at which agents find a crash.
+	sameMoment = 100 * time.Millisecond
 	// minHits is the number of crashes at which a job type must have been at the same point.
 	minHits = 3
 	// tolerance and minTolerance say which run times count as the same point.
@@ -175,14 +178,17 @@
 	width := widthOf(t.RunTime)
 	span := max(background*t.RunTime, 2*width)
 	crashes, hits, others := 0, 0, 0
+	var latestCrash, latestHit time.Time
 	for i := range l.events {
 		e := &l.events[i]
 		if e.explained || e.service != newest.service || now.Sub(e.at) > comparedFor {
 			continue
 		}
-		crashes++
-		if e.hit(t.JobType, t.RunTime) {
-			hits++
+		if e.at.Sub(latestCrash) >= sameMoment {
+			crashes, latestCrash = crashes+1, e.at
+		}
+		if e.hit(t.JobType, t.RunTime) && e.at.Sub(latestHit) >= sameMoment {
+			hits, latestHit = hits+1, e.at
 		}
 		for _, o := range e.tasks {
 			if o.JobType == t.JobType && (o.RunTime-t.RunTime).Abs() > width && o.RunTime <= span {
@@ -197,7 +203,7 @@
 	rate := (float64(others) + 1) / float64(crashes) / (span - 2*width + 1).Seconds()
 	chance := 1 - math.Exp(-rate*(2*width).Seconds())
 	// The newest crash is a hit by choice, of as many as it has tasks.
-	return float64(len(newest.tasks)) * tail(hits-1, crashes-1, chance)
+	return float64(len(newest.tasks)) * tail(hits-1, max(hits, crashes)-1, chance)
 }
 
 // tail returns the probability of at least this many hits in so many trials.
--- a/internal/core/crashlog/crashlog_test.go
+++ b/internal/core/crashlog/crashlog_test.go
@@ -166,6 +166,7 @@
 		l.Crashed(now, "s", fmt.Sprint("w", i), crashOf(i, msg.CrashedTask{Name: fmt.Sprint(i), JobType: "quote", RunTime: 10 * time.Millisecond}))
 	}
 	for i := range int64(6) {
+		now = now.Add(300 * time.Millisecond)
 		crash(i)
 	}
 	c.Assert(l.Confined(quote), qt.IsTrue)
@@ -179,3 +180,29 @@
 	c.Assert(l.Expire(now), qt.DeepEquals, []crashlog.JobType{quote})
 	c.Assert(l.Confined(quote), qt.IsFalse)
 }
+
+// Guards against confining a job type because workers that share a rack crash at the same
+// moment: tasks of one job, started together at several of them, have run for the same time.
+func TestCrashesAtTheSameMomentConfineNothing(t *testing.T) {
+	c := qt.New(t)
+	wrong := 0
+	const runs = 200
+	for seed := range uint64(runs) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		tr := traffic{rng}
+		var l crashlog.Log
+		serial := 0
+		next := func() string { serial++; return fmt.Sprint(serial) }
+		shared := time.Duration(5+rng.IntN(50)) * time.Millisecond
+		for i := range 4 {
+			tasks := append(tr.running(next), msg.CrashedTask{Name: next(), JobType: "quote", RunTime: shared})
+			reported := start.Add(time.Duration(rng.IntN(100)) * time.Millisecond)
+			if len(l.Crashed(reported, "s", fmt.Sprint("w", i), crashOf(int64(i), tasks...))) > 0 {
+				wrong++
+				break
+			}
+		}
+	}
+	t.Logf("confined in %d of %d", wrong, runs)
+	c.Check(wrong <= runs/20, qt.IsTrue, qt.Commentf("%d of %d", wrong, runs))
+}
--- a/internal/core/entry/crashes_test.go
+++ b/internal/core/entry/crashes_test.go
@@ -146,9 +146,14 @@
 	f.c.Assert(f.dispatched()[others[0].link], qt.HasLen, 1)
 }
 
-// confine has workers crash under tasks of the patient job type at the same point.
+// confine has workers crash, one after the other, under tasks of the patient job type at the
+// same point of their runs.
 func (f *fixture) confine(workers []*leasedWorker) {
 	for i, w := range workers {
+		f.advance(300 * time.Millisecond)
+		for _, o := range workers {
+			o.hello(false)
+		}
 		w.hello(false, crashOf(int64(i), 10*time.Millisecond, msg.Dispatch{TaskName: fmt.Sprint("deadly", i), JobType: "patient"}))
 	}
 }
