--- a/internal/core/crashlog/crashlog.go
+++ b/internal/core/crashlog/crashlog.go
@@ -44,7 +44,7 @@
 	comparedFor = 5 * time.Second
 	// sameMoment is the span within which crashes have one cause outside the workers, such as
 	// a lost rack. It covers the differences between the times at which agents find a crash.
-	sameMoment = 100 * time.Millisecond
+	sameMoment = 50 * time.Millisecond
 	// minHits is the number of crashes at which a job type must have been at the same point.
 	minHits = 3
 	// tolerance and minTolerance say which run times count as the same point.
