--- a/internal/core/crashlog/crashlog.go
+++ b/internal/core/crashlog/crashlog.go
@@ -22,6 +22,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"gonum.org/v1/gonum/mathext"
@@ -42,9 +43,6 @@
 	// within which they happened.
 	compared    = 12
 	comparedFor = 5 * time.Second
-	// sameMoment is the span within which crashes have one cause outside the workers, such as
-	// a lost rack. It covers the differences between the times at which agents find a crash.
-	sameMoment = 50 * time.Millisecond
 	// minHits is the number of crashes at which a job type must have been at the same point.
 	minHits = 3
 	// tolerance and minTolerance say which run times count as the same point.
@@ -101,6 +99,26 @@
 	})
 }
 
+// hitByOtherJob reports whether a task of the type, of a job that was not counted before, had
+// run for about this time, and counts its job. The tasks of one job start together: when
+// workers that share a rack crash at the same moment, these have run for the same time.
+func (e *event) hitByOtherJob(jobType string, point time.Duration, counted map[string]bool) bool {
+	hit := false
+	for _, t := range e.tasks {
+		if t.JobType == jobType && (t.RunTime-point).Abs() <= widthOf(point) && !counted[jobOf(t.Name)] {
+			counted[jobOf(t.Name)] = true
+			hit = true
+		}
+	}
+	return hit
+}
+
+// jobOf returns the name of a task's job, with which the names of its tasks begin.
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 // widthOf returns by how much run times at the same point may differ.
 func widthOf(point time.Duration) time.Duration {
 	return max(minTolerance, time.Duration(tolerance*float64(point)))
@@ -178,17 +196,15 @@
 	width := widthOf(t.RunTime)
 	span := max(background*t.RunTime, 2*width)
 	crashes, hits, others := 0, 0, 0
-	var latestCrash, latestHit time.Time
+	counted := make(map[string]bool)
 	for i := range l.events {
 		e := &l.events[i]
 		if e.explained || e.service != newest.service || now.Sub(e.at) > comparedFor {
 			continue
 		}
-		if e.at.Sub(latestCrash) >= sameMoment {
-			crashes, latestCrash = crashes+1, e.at
-		}
-		if e.hit(t.JobType, t.RunTime) && e.at.Sub(latestHit) >= sameMoment {
-			hits, latestHit = hits+1, e.at
+		crashes++
+		if e.hitByOtherJob(t.JobType, t.RunTime, counted) {
+			hits++
 		}
 		for _, o := range e.tasks {
 			if o.JobType == t.JobType && (o.RunTime-t.RunTime).Abs() > width && o.RunTime <= span {
@@ -203,7 +219,7 @@
 	rate := (float64(others) + 1) / float64(crashes) / (span - 2*width + 1).Seconds()
 	chance := 1 - math.Exp(-rate*(2*width).Seconds())
 	// The newest crash is a hit by choice, of as many as it has tasks.
-	return float64(len(newest.tasks)) * tail(hits-1, max(hits, crashes)-1, chance)
+	return float64(len(newest.tasks)) * tail(hits-1, crashes-1, chance)
 }
 
 // tail returns the probability of at least this many hits in so many trials.
