--- a/internal/core/coretest/leased_joined_test.go
+++ b/internal/core/coretest/leased_joined_test.go
@@ -18,6 +18,7 @@
 		"agent frozen": func(a *leasedAgent) { a.pausedUntil = a.w.now.Add(2 * time.Second) },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(uniformHeartbeatSeeds) {
 				w := newLeasedWorld(qt.New(t), seed)
 				w.run(time.Second)
--- a/internal/core/coretest/leased_mixed_test.go
+++ b/internal/core/coretest/leased_mixed_test.go
@@ -92,6 +92,7 @@
 func TestLeasedTasksRunAtOneWorkerUnderMixedFaults(t *testing.T) {
 	for seed := range *leasedSeeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
 			w := newLeasedWorld(qt.New(t), seed)
 			w.longTasks = true
 			w.after(time.Second, w.loadWithMixedFaults)
--- a/internal/core/coretest/leased_pause_test.go
+++ b/internal/core/coretest/leased_pause_test.go
@@ -14,6 +14,7 @@
 func TestTaskOfJobAbandonedInAPauseEndsWhileStopsAreLost(t *testing.T) {
 	for pause := 100 * time.Millisecond; pause < resendPause; pause += 100 * time.Millisecond {
 		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(uniformHeartbeatSeeds) {
 				w := newLeasedWorld(qt.New(t), seed)
 				w.run(time.Second)
@@ -40,6 +41,7 @@
 func TestTaskOfAbandonedJobEndsWhileRevokeIsLate(t *testing.T) {
 	for delay := 100 * time.Millisecond; delay < time.Second; delay += 200 * time.Millisecond {
 		t.Run(delay.String(), func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(uniformHeartbeatSeeds) {
 				w := newLeasedWorld(qt.New(t), seed)
 				w.run(time.Second)
--- a/internal/core/coretest/leased_stop_test.go
+++ b/internal/core/coretest/leased_stop_test.go
@@ -43,6 +43,7 @@
 // and stops get no answer: holds and starts for the tasks of another entry must not
 // extend the lease until the first entry takes the task as ended and starts it elsewhere.
 func TestTaskOfCutOffEntryEndsWhileStopsAreLost(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(uniformHeartbeatSeeds) {
 		w := newLeasedWorld(qt.New(t), seed)
 		w.run(time.Second)
@@ -57,6 +58,7 @@
 // Guards against two runs of one task when its entry dies and stops get no answer: the
 // task must have ended when the caller sends its job to another entry.
 func TestTaskOfDeadEntryEndsWhileStopsAreLost(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(uniformHeartbeatSeeds) {
 		w := newLeasedWorld(qt.New(t), seed)
 		w.run(time.Second)
@@ -72,6 +74,7 @@
 // Guards against two runs of one task when its caller's connection breaks and stops get
 // no answer: the task must have ended when the caller sends its job to another entry.
 func TestTaskOfAbandonedJobEndsWhileStopsAreLost(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(uniformHeartbeatSeeds) {
 		w := newLeasedWorld(qt.New(t), seed)
 		w.run(time.Second)
@@ -88,6 +91,7 @@
 // before it has stopped the entry's tasks: the lease that was renewed last must have
 // ended when the caller sends its job to another entry.
 func TestTaskOfDeadEntryEndsWhileAgentIsFrozen(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(uniformHeartbeatSeeds) {
 		for frozenAfter := 100 * time.Millisecond; frozenAfter <= time.Second; frozenAfter += 100 * time.Millisecond {
 			w := newLeasedWorld(qt.New(t), seed)
--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -584,6 +584,7 @@
 // late calls, restarted workers, restarted, paused and partitioned agents, and
 // paused entries. Guards also against a job without an answer.
 func TestLeasedTasksRunAtOneWorker(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2 * uniformHeartbeatSeeds) {
 		c := qt.New(t)
 		w := newLeasedWorld(c, seed)
@@ -601,6 +602,7 @@
 // Guards against two concurrent runs of one task when entries crash and callers
 // send their jobs to another one.
 func TestLeasedTasksRunAtOneWorkerAfterEntryCrash(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2 * uniformHeartbeatSeeds) {
 		c := qt.New(t)
 		w := newLeasedWorld(c, seed)
