--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -23,7 +23,7 @@
 }
 
 // holdSteadyState renews the lease while something runs, acknowledges the newest ends,
-// and keeps a recent reading of an idle worker's clock, which also tells of a restart.
+// and keeps a recent reading of an idle worker's clock, which also reveals a restart.
 func (c *Core) holdSteadyState() {
 	switch {
 	case len(c.byName) == 0 && len(c.unowned) == 0 && c.acked == c.seen && !c.silent && c.now.Sub(c.clockAt) < clockRefresh:
