Show two runs for a caller whose connection falls silent

Callers would see: two runs of one task, when a connection falls silent without a reset and the caller sends the job again 1.3 s later, while its first entry lives.

Not mended: a tie between entries by the job's name costs a message a job or names to all entries, and is a design of its own.

--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -577,3 +577,27 @@
 	s.sleep(resendPause)
 	_, _ = caller.try(other, job)
 }
+
+// Guards against a second run of a task whose caller's connection has fallen silent and who
+// sends its job to another entry while the first one lives and knows nothing of it.
+func TestSilentCallerSeesOneRun(t *testing.T) {
+	s := newSoak(t, 1)
+	defer s.report(t)
+	first, other := s.entries[0], s.entries[1]
+	before, after := s.newCaller(0), s.newCaller(1)
+	waitFor(s.c, "a job through the first entry", func() bool {
+		status, _ := before.try(first, before.newJob(taskPlan{Ms: 5}, 1))
+		return status == http.StatusOK
+	})
+	address := before.conns[first].LocalAddr()
+	job := before.newJob(taskPlan{Ms: 3000}, 2)
+	job.deadline = time.Now().Add(8 * time.Second)
+	var group sync.WaitGroup
+	group.Go(func() { _, _ = before.try(first, job) })
+	s.sleep(200 * time.Millisecond)
+	first.callers.silence(address)
+	s.sleep(resendPause)
+	_, _ = after.try(other, job)
+	s.stop()
+	group.Wait()
+}
