--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -410,10 +411,13 @@
 	s.sleep(time.Duration(*soakSeconds) * time.Second)
 	s.stop()
 	group.Wait()
-	if s.counts["answered"] < soakMinAnswered {
-		s.failf("only %d jobs were answered", s.counts["answered"])
+	var counts map[string]int
+	// The workers go on counting.
+	s.locked(func() { counts = maps.Clone(s.counts) })
+	if counts["answered"] < soakMinAnswered {
+		s.failf("only %d jobs were answered", counts["answered"])
 	}
-	t.Logf("seed %d: %v: %v", seed, names, s.counts)
+	t.Logf("seed %d: %v: %v", seed, names, counts)
 	s.report(t)
 }
 
