--- a/internal/core/entry/crashes.go
+++ b/internal/core/entry/crashes.go
@@ -122,10 +122,10 @@
 	return h.Sum64()
 }
 
-// mayEndanger reports whether a leased worker may get the task, which may crash it. A
+// crashRulesAllow reports whether a leased worker may get the task after earlier crashes. A
 // suspect runs where no other one does. Tasks of a confined job type run in the cell, unless
 // none of its workers can ever run them.
-func (c *Core) mayEndanger(p *pass, w *worker, j *job, task int, step Step) bool {
+func (c *Core) crashRulesAllow(w *worker, j *job, task int, step Step) bool {
 	if w.suspects > 0 && c.suspect(j, task) {
 		return false
 	}
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -33,7 +33,7 @@
 	bestScore, ties := 0.0, 0
 	p.examined += len(p.workers)
 	for _, w := range p.workers {
-		if !w.fits(size) || !w.allowed(j, task, step) || !w.mayTake(p, j, task, step) || !c.mayEndanger(p, w, j, task, step) {
+		if !w.fits(size) || !w.allowed(j, task, step) || !w.mayTake(p, j, task, step) || !c.crashRulesAllow(w, j, task, step) {
 			continue
 		}
 		score := w.score(j, task, step) - w.cellScore(j)
