--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -32,6 +32,7 @@
 	// metrics is nil when the process exports none.
 	metrics *telemetry.Metrics
 	log     *zap.Logger
+	load    load
 }
 
 // waiter receives the progress and the answer of one job.
@@ -50,6 +51,7 @@
 		log:     zap.NewNop(),
 		waiters: make(map[uint64]*waiter),
 		links:   make(map[entry.LinkID]*linkOutbox),
+		load:    load{epoch: clock.Now()},
 	}
 }
 
@@ -112,7 +114,9 @@
 		f := <-l.inputs
 		f(clock.Now())
 	}
-	l.core.Tick(clock.Now())
+	now := clock.Now()
+	l.core.Tick(now)
+	l.logLoad(now)
 }
 
 // closeLinks ends all streams, because the server's shutdown waits for them.
@@ -126,6 +130,7 @@
 func (l *loop) handleOutputs() {
 	for _, out := range l.core.TakeOutputs() {
 		l.recordOutput(out)
+		l.load.output(out)
 		switch out := out.(type) {
 		case entry.Send:
 			if box, ok := l.links[out.Link]; ok {
--- a/internal/entryd/runner.go
+++ b/internal/entryd/runner.go
@@ -55,6 +55,7 @@
 	r.loop.post(func(now time.Time) {
 		received.Store(true)
 		r.loop.waiters[job.ID] = w
+		r.loop.load.submitted(now, job)
 		r.loop.core.Step(now, entry.Submit{Job: job})
 	})
 	return r.wait(ctx, job.ID, w, &received, report)
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -40,6 +40,7 @@
 	WorkerJudged     = define(2006, "worker_judged", zap.InfoLevel, "the entry uses a worker in another way from now on")
 	AttemptsReleased = define(2007, "attempts_released", zap.InfoLevel, "attempts at a worker count as ended without a message from its agent")
 	JobTypeConfined  = define(2008, "job_type_confined", zap.WarnLevel, "the workers that a job type may use changed, since its tasks crash workers")
+	EntryLoad        = define(2009, "entry_load", zap.InfoLevel, "jobs, messages and delays of the last second")
 	EntryLinked      = define(3001, "entry_linked", zap.InfoLevel, "an entry accepted the link")
 	EntryUnlinked    = define(3002, "entry_unlinked", zap.WarnLevel, "the link to an entry broke or could not be opened")
 	EndpointJoined   = define(3003, "endpoint_joined", zap.InfoLevel, "the endpoint announced itself")
