Let dispatches of a late entry wait at the agent for the next free room

Callers of an entry with a full processor got a third of their service. Cause: being late costs it more work. Its view of room is old, agents refuse nearly half of its dispatches, and each refusal is two more messages for an entry that already reads them 30 to 120 ms late.

The entry measures how late it reads messages of agents, from their clocks. A dispatch says how long it may wait: as long as its refusal would wait to be read, at most 100 ms, so next to nothing at an entry that is not late. The agent keeps it only if the rate at which tasks end promises room in that time, and refuses it at once otherwise. A waiting dispatch counts as not arrived: a revoke, a broken link, a leaving worker or a lost lease means that it never starts.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -76,6 +76,9 @@
 	unacknowledged int
 	// used is the sum of the sizes of running attempts.
 	used msg.Size
+	// waiting holds the dispatches that wait for room, in the order of their arrival.
+	waiting  []waitingDispatch
+	releases releaseRate
 	// lastReport is the number of the latest slot report.
 	lastReport uint64
 	// grantBudget is the number of SlotsFree messages that may be sent now.
@@ -174,6 +177,7 @@
 	case RevisionChanged:
 		c.setRevision(max(c.revision, in.Revision))
 	}
+	c.startWaiting(now)
 	c.balanceGrants()
 	c.checkSlots()
 }
@@ -186,6 +190,7 @@
 	c.closeSilentLinks(now)
 	c.stopOrphans(now)
 	c.closeDrainedLinks(now)
+	c.startWaiting(now)
 	for _, e := range c.entries.linked {
 		if c.heartbeatDue(now, e) || c.roomReportDue(now, e) {
 			c.send(now, e, msg.Heartbeat{Report: c.report(e), Revision: c.revision})
--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -22,6 +22,8 @@
 	// stateForgotten records that the attempt ran and its result was dropped. It is
 	// kept until a repeated dispatch would be refused for its startBy.
 	stateForgotten
+	// stateWaiting records a dispatch that waits for room. It is as if it had not arrived.
+	stateWaiting
 )
 
 type attempt struct {
@@ -79,25 +81,39 @@
 		c.repeatedDispatch(now, e, d.Attempt, known)
 		return
 	}
-	if reason := c.refusal(now, e, d); reason != 0 {
-		if e.claim = d.Claim; reason == verdict.NoSlot {
-			e.claim.Waiting++
-		}
-		c.recordNeverStarts(d.Attempt, d.StartBy)
-		c.send(now, e, msg.Refused{Attempt: d.Attempt, Reason: reason, Report: c.report(e)})
-		return
+	reason := c.refusal(now, e, d)
+	switch {
+	case reason == 0:
+		c.accept(now, e, d)
+	case reason == verdict.NoSlot && c.roomExpected(now, d):
+		c.await(now, e, d)
+	default:
+		c.refuse(now, e, d, reason)
 	}
+}
+
+// refuse answers a dispatch that must not start.
+func (c *Core) refuse(now time.Time, e *entryState, d msg.Dispatch, reason verdict.RetryReason) {
+	if e.claim = d.Claim; reason == verdict.NoSlot {
+		e.claim.Waiting++
+	}
+	c.recordNeverStarts(d.Attempt, d.StartBy)
+	c.send(now, e, msg.Refused{Attempt: d.Attempt, Reason: reason, Report: c.report(e)})
+}
+
+// accept starts a dispatch that has room.
+func (c *Core) accept(now time.Time, e *entryState, d msg.Dispatch) {
 	if !c.endpoint.leased {
 		c.useGrant(e)
 	}
-	if e.running++; e.running == 1 {
-		e.busySince = now
-	}
-	c.start(e, d)
+	c.start(now, e, d)
 	c.applyClaim(now, e, d.Claim)
 }
 
-func (c *Core) start(e *entryState, d msg.Dispatch) {
+func (c *Core) start(now time.Time, e *entryState, d msg.Dispatch) {
+	if e.running++; e.running == 1 {
+		e.busySince = now
+	}
 	c.attempts[d.Attempt] = &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size, taskName: d.TaskName, jobType: d.JobType}
 	c.running++
 	c.used = c.used.Plus(d.Size)
@@ -201,6 +217,8 @@
 			return msg.Done
 		case stateNeverStarts:
 			return msg.NeverStarts
+		case stateWaiting:
+			return msg.Unknown
 		}
 		return msg.Forgotten
 	}
@@ -222,6 +240,7 @@
 	c.running--
 	c.unacknowledged++
 	c.used = c.used.Minus(a.size)
+	c.releases.add(now, a.size.Cores)
 	a.state = stateDone
 	a.result = msg.Result{Attempt: in.Attempt, Kind: in.Kind, Payload: in.Payload, RunTime: in.RunTime}
 	switch in.Kind {
@@ -235,6 +254,8 @@
 	if e := c.entries.byIncarnation[in.Attempt.Entry]; e != nil {
 		e.running--
 	}
+	// Waiting attempts take the room before it is reported.
+	c.startWaiting(now)
 	c.recordOutcome(now, a.result)
 	owner := c.entries.link(in.Attempt.Entry)
 	c.grantFreedSlots(now, owner)
--- a/internal/core/agent/export_test.go
+++ b/internal/core/agent/export_test.go
@@ -9,7 +9,7 @@
 func (c *Core) CorruptRunning() { c.running = -1 }
 
 // StartUnchecked starts an attempt without checking for a free slot.
-func (c *Core) StartUnchecked(d msg.Dispatch) { c.start(&entryState{}, d) }
+func (c *Core) StartUnchecked(d msg.Dispatch) { c.start(c.now, &entryState{}, d) }
 
 // LowerRevision puts an older table revision in force.
 func (c *Core) LowerRevision() { c.setRevision(c.revision - 1) }
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -105,7 +105,9 @@
 	// one.
 	revokeTargets []*worker
 	crashes       crashlog.Log
-	draining      bool
+	// messageDelay is the mean delay of the latest messages from agents, in seconds.
+	messageDelay float64
+	draining     bool
 	// drainUntil is when this process stops; set while draining.
 	drainUntil time.Time
 	out        []Output
--- /dev/null
+++ b/internal/core/entry/lateness.go
@@ -0,0 +1,59 @@
+package entry
+
+import "time"
+
+// An entry with little processor time reads the messages of its agents late during a burst.
+// It then knows less of the workers' room, its dispatches are refused more often, and each
+// refusal is answered late as well. The entry measures how late it is, lets agents keep a
+// dispatch for about as long as a refusal would take.
+
+const (
+	// latenessGain is the weight of one message in the mean delay.
+	latenessGain = 1.0 / 32
+	// clockTolerance is by how much of the elapsed time the clocks of two VMs may drift
+	// apart.
+	clockTolerance = 200e-6
+	// maxWaitForRoom bounds the time that a dispatch may wait at an agent.
+	maxWaitForRoom = 100 * time.Millisecond
+	// maxDelay bounds what one message adds to the mean. After a pause of this process all
+	// messages are late once.
+	maxDelay = 2 * maxWaitForRoom
+)
+
+// transit measures how long messages of one agent are under way beyond the fastest one. The
+// clocks of the two VMs have different zeros.
+type transit struct {
+	// least is the least difference of the clocks, seen at.
+	least time.Duration
+	at    time.Time
+}
+
+// delay returns the delay of a message that the agent sent at the reading clock of its own
+// clock.
+func (t *transit) delay(now time.Time, clock time.Duration) time.Duration {
+	offset := now.Sub(time.Unix(0, 0)) - clock
+	if !t.at.IsZero() {
+		t.least += time.Duration(clockTolerance * float64(now.Sub(t.at)))
+	}
+	if t.at.IsZero() || offset < t.least {
+		t.least = offset
+	}
+	t.at = now
+	return offset - t.least
+}
+
+// recordDelay records the delay of a message from the worker's agent.
+func (c *Core) recordDelay(now time.Time, w *worker, clock time.Duration) {
+	delay := min(w.transit.delay(now, clock), maxDelay)
+	c.messageDelay += latenessGain * (delay.Seconds() - c.messageDelay)
+}
+
+// MessageDelay returns how long messages from agents wait to be read, on the mean of the
+// latest ones.
+func (c *Core) MessageDelay() time.Duration {
+	return time.Duration(c.messageDelay * float64(time.Second))
+}
+
+// waitForRoom returns how long a dispatch may wait at an agent: as long as its refusal would
+// take to be read.
+func (c *Core) waitForRoom() time.Duration { return min(c.MessageDelay(), maxWaitForRoom) }
--- /dev/null
+++ b/internal/core/entry/lateness_test.go
@@ -0,0 +1,46 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/poplarlever/poplarlever/internal/core/msg"
+)
+
+// readLate lets the entry read messages of all workers, each with a delay.
+func (f *slowdownFixture) readLate(delay time.Duration) {
+	for range 40 {
+		f.now = f.now.Add(tick)
+		for _, w := range f.workers {
+			w.clock = f.now.Add(-delay).Sub(time.Unix(0, 0))
+			w.send(msg.Heartbeat{Report: w.report()})
+		}
+	}
+	f.out = nil
+}
+
+// Guards against dispatches that agents refuse although the entry would read the refusal
+// later than the next task ends there, and against ones that wait although the entry is
+// not late.
+func TestOnlyLateEntryLetsDispatchesWait(t *testing.T) {
+	f := newSlowdownFixture(t)
+	wait := func() time.Duration {
+		f.submitSized("patient", 3, 1)
+		for _, ds := range f.dispatched() {
+			return ds[0].WaitForRoom
+		}
+		f.c.Fatal("nothing is dispatched")
+		return 0
+	}
+	f.readLate(time.Millisecond)
+	f.readLate(2 * time.Millisecond)
+	f.c.Check(wait() <= 2*time.Millisecond, qt.IsTrue)
+	f.readLate(50 * time.Millisecond)
+	f.c.Check(wait() >= 40*time.Millisecond, qt.IsTrue)
+	f.readLate(5 * time.Second)
+	f.c.Check(wait(), qt.Equals, 100*time.Millisecond, qt.Commentf("a paused entry"))
+	f.readLate(time.Millisecond)
+	f.c.Check(wait() <= 2*time.Millisecond, qt.IsTrue, qt.Commentf("the entry is late no more"))
+}
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -82,6 +82,7 @@
 	// arrived at clockSeen.
 	clock     time.Duration
 	clockSeen time.Time
+	transit   transit
 	acks      acks
 	// queuedRevokes are sent together by the next tick.
 	queuedRevokes []*attempt
@@ -314,6 +315,7 @@
 	w.retired = append(w.retired, w.incarnation)
 	w.health, w.outcomes, w.slowdown = health.Worker{}, health.Outcomes{}, slowdown{}
 	w.covered, w.lastReport, w.revision, w.clock, w.clockSeen = 0, 0, 0, 0, time.Time{}
+	w.transit = transit{}
 }
 
 // unlink closes the current link, if any.
@@ -359,6 +361,7 @@
 		return
 	}
 	c.recordContact(now, w, in.Clock)
+	c.recordDelay(now, w, in.Clock)
 	switch m := in.Message.(type) {
 	case msg.Hello:
 		if m.Worker == w.name && m.Incarnation == w.incarnation {
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -305,6 +305,9 @@
 	EchoedClock time.Duration
 	// JobType is the job type of the task.
 	JobType string
+	// WaitForRoom is how long the attempt may wait at a leased worker that is full. An
+	// agent that does not expect room in that time refuses it at once.
+	WaitForRoom time.Duration
 }
 
 // AttemptRef identifies an attempt and gives its latest start, so that the agent
