Do not count an entry's own lateness as run time of tasks

A late entry stopped tasks that had ended, and judged their workers slow: it compared the time since the dispatch with the run time, and results wait 30 to 120 ms to be read there. Each such stop is a task done twice. The time allowed now grows with the measured delay; for an entry that is not late nothing changes. One test's agents now have clocks that run, as a clock that stands still reads as a message that was under way all the time; its checks are the same.

TestLateEntryDoesNotStopTasksAsOverdue failed before.

--- a/internal/core/entry/lateness.go
+++ b/internal/core/entry/lateness.go
@@ -5,7 +5,8 @@
 // An entry with little processor time reads the messages of its agents late during a burst.
 // It then knows less of the workers' room, its dispatches are refused more often, and each
 // refusal is answered late as well. The entry measures how late it is, lets agents keep a
-// dispatch for about as long as a refusal would take.
+// dispatch for about as long as a refusal would take, and does not count the delay as run
+// time of a task.
 
 const (
 	// latenessGain is the weight of one message in the mean delay.
@@ -57,3 +58,8 @@
 // waitForRoom returns how long a dispatch may wait at an agent: as long as its refusal would
 // take to be read.
 func (c *Core) waitForRoom() time.Duration { return min(c.MessageDelay(), maxWaitForRoom) }
+
+// answerAllowance returns by how much later than the run time of its task an answer may be
+// read because this entry is late: the dispatch may have waited for room, and the answer
+// waits to be read. A burst delays some messages by more than the mean.
+func (c *Core) answerAllowance() time.Duration { return 3 * c.waitForRoom() }
--- a/internal/core/entry/lateness_test.go
+++ b/internal/core/entry/lateness_test.go
@@ -44,3 +44,23 @@
 	f.readLate(time.Millisecond)
 	f.c.Check(wait() <= 2*time.Millisecond, qt.IsTrue, qt.Commentf("the entry is late no more"))
 }
+
+// Guards against an entry that takes the time for which results wait to be read for run
+// time: it stopped tasks that had ended, and left out sound workers as slow.
+func TestLateEntryDoesNotStopTasksAsOverdue(t *testing.T) {
+	f := newSlowdownFixture(t)
+	f.readLate(time.Millisecond)
+	f.readLate(80 * time.Millisecond)
+	f.submitSized("patient", 3, 4)
+	dispatches := f.dispatched()
+	f.c.Assert(dispatches[f.slow.link], qt.HasLen, 1)
+	delete(dispatches, f.slow.link)
+	for link, ds := range dispatches {
+		f.finish(link, ds)
+	}
+	// The other tasks took 100 ms, so that this one is overdue after 250 ms.
+	f.advance(300 * time.Millisecond)
+	for _, r := range take[msg.Revoke](f.fixture) {
+		f.c.Check(r.Stop, qt.IsFalse)
+	}
+}
--- a/internal/core/entry/slowdown.go
+++ b/internal/core/entry/slowdown.go
@@ -151,7 +151,7 @@
 		if !w.hello.Leased() || !w.busy() || w.crashed {
 			continue
 		}
-		if !w.slowdown.slow() && health.Silent(w.runningSinceLastEnd(now)) {
+		if !w.slowdown.slow() && health.Silent(w.runningSinceLastEnd(now.Add(-c.answerAllowance()))) {
 			c.observeSlowdown(now, w, now, slowThreshold, 1)
 		}
 		for _, a := range w.outstanding {
@@ -184,7 +184,7 @@
 	if w.slowdown.slow() {
 		limit = min(limit, max(minOverdue, time.Duration(overdueFactor*float64(a.job.spec.Tasks[a.task].DeclaredRunTime))))
 	}
-	if now.Sub(a.sentAt) < limit {
+	if now.Sub(a.sentAt) < limit+c.answerAllowance() {
 		return
 	}
 	if !a.overdue {
--- a/internal/core/entry/slowdown_test.go
+++ b/internal/core/entry/slowdown_test.go
@@ -137,6 +137,7 @@
 	for range 20 {
 		f.advance(tick)
 		for _, w := range f.workers {
+			w.clock += tick
 			w.send(msg.Heartbeat{Report: w.report()})
 		}
 	}
