Report room less often to an entry that is late

Interval and load fed each other.

The interval is now at least four times the entry's delay, which its dispatches carry. The delay that reports cause thus lowers their rate.

--- a/internal/core/agent/entries.go
+++ b/internal/core/agent/entries.go
@@ -23,6 +23,8 @@
 	granted       int
 	reservedUntil time.Time
 	claim         msg.Claim
+	// lateness is how late the entry reads messages, as its newest dispatch told.
+	lateness time.Duration
 	// running is the number of its attempts at the endpoint.
 	running int
 	// busySince is when running last rose from zero.
--- a/internal/core/agent/roomreport.go
+++ b/internal/core/agent/roomreport.go
@@ -20,6 +20,10 @@
 	// noClaimFactor multiplies the interval for an entry without waiting tasks. With a
 	// few entries the result is the time that a job of short tasks can wait.
 	noClaimFactor = 3
+	// latenessFactor times the delay with which the entry reads messages is the shortest
+	// interval for it: a report that is overtaken by the next one before it is read only
+	// delays the entry further.
+	latenessFactor = 4
 	// minRoomChange is the smallest change of a worker's free cores that is reported.
 	minRoomChange = 0.5
 	// scarceShare is the free share of a worker's cores below which changes are
@@ -36,6 +40,7 @@
 	if e.claim.Waiting == 0 {
 		interval *= noClaimFactor
 	}
+	interval = max(interval, latenessFactor*e.lateness)
 	if now.Sub(e.lastSent) < interval {
 		return false
 	}
--- a/internal/core/agent/roomreport_test.go
+++ b/internal/core/agent/roomreport_test.go
@@ -89,3 +89,24 @@
 	waiting, idle := reports(msg.Claim{Waiting: 3, Unfinished: 1}), reports(msg.Claim{})
 	qt.Assert(t, waiting > 2*idle, qt.IsTrue, qt.Commentf("%d reports to an entry with waiting tasks, %d to another", waiting, idle))
 }
+
+// Guards against reports of room that come faster the later an entry reads them: it has
+// tasks waiting because it is late, and agents report most often to such an entry.
+func TestLateEntryGetsFewerReports(t *testing.T) {
+	reports := func(wait time.Duration) int {
+		f := newLeasedFixture(t)
+		d := f.dispatchOf(attempt(other, 1000))
+		d.Size, d.WaitForRoom, d.Claim = msg.Size{Cores: 1}, wait, msg.Claim{Waiting: 3, Unfinished: 1}
+		f.step(agent.Received{Entry: other, Message: d})
+		f.occupy(0, 28)
+		for job := range uint64(20) {
+			f.occupy(job+1, 2)
+			f.advanceFine(20 * time.Millisecond)
+			f.end(attempt(entry, job+1), msg.ResultOK)
+			f.advanceFine(20 * time.Millisecond)
+		}
+		return len(sentTo[msg.Heartbeat](f, other))
+	}
+	late, onTime := reports(50*time.Millisecond), reports(time.Millisecond)
+	qt.Assert(t, onTime > 4*late, qt.IsTrue, qt.Commentf("%d reports to an entry that is late by 50 ms, %d to another", late, onTime))
+}
