Let dispatches wait for as long as a refusal holds a task up

An entry lets a dispatch wait for the delay of one message, but a refusal costs more than that: the next worker is as likely to be full, so a task that is refused needs 1.4 to 1.6 dispatches, each with an answer to wait for. The wait is now four delays, at most half of the time until the job's latest start, so that a further dispatch can follow in time, or one delay if that is longer.

--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -76,7 +76,7 @@
 		return
 	}
 	e.lastSeq = max(e.lastSeq, d.Seq)
-	e.lateness = d.WaitForRoom
+	e.waitForRoom = d.WaitForRoom
 	c.echoed(now, e, d.EchoedClock)
 	if known, ok := c.attempts[d.Attempt]; ok {
 		c.repeatedDispatch(now, e, d.Attempt, known)
--- a/internal/core/agent/entries.go
+++ b/internal/core/agent/entries.go
@@ -23,8 +23,9 @@
 	granted       int
 	reservedUntil time.Time
 	claim         msg.Claim
-	// lateness is how late the entry reads messages, as its newest dispatch told.
-	lateness time.Duration
+	// waitForRoom is how long its newest dispatch may wait; the later the entry reads
+	// messages, the longer.
+	waitForRoom time.Duration
 	// running is the number of its attempts at the endpoint.
 	running int
 	// busySince is when running last rose from zero.
--- a/internal/core/agent/roomreport.go
+++ b/internal/core/agent/roomreport.go
@@ -20,10 +20,10 @@
 	// noClaimFactor multiplies the interval for an entry without waiting tasks. With a
 	// few entries the result is the time that a job of short tasks can wait.
 	noClaimFactor = 3
-	// latenessFactor times the delay with which the entry reads messages is the shortest
-	// interval for it: a report that is overtaken by the next one before it is read only
-	// delays the entry further.
-	latenessFactor = 4
+	// waitsPerReport times the time that the entry lets a dispatch wait is the shortest
+	// interval for it. That time grows with the delay with which the entry reads messages,
+	// and a report that the next one overtakes before it is read only adds to the delay.
+	waitsPerReport = 4
 	// minRoomChange is the smallest change of a worker's free cores that is reported.
 	minRoomChange = 0.5
 	// scarceShare is the free share of a worker's cores below which changes are
@@ -40,7 +40,7 @@
 	if e.claim.Waiting == 0 {
 		interval *= noClaimFactor
 	}
-	interval = max(interval, latenessFactor*e.lateness)
+	interval = max(interval, waitsPerReport*e.waitForRoom)
 	if now.Sub(e.lastSent) < interval {
 		return false
 	}
--- a/internal/core/entry/lateness.go
+++ b/internal/core/entry/lateness.go
@@ -5,7 +5,7 @@
 // An entry with little processor time reads the messages of its agents late during a burst.
 // It then knows less of the workers' room, its dispatches are refused more often, and each
 // refusal is answered late as well. The entry measures how late it is, lets agents keep a
-// dispatch for about as long as a refusal would take, and does not count the delay as run
+// dispatch for about as long as a refusal would hold the task up, and does not count the delay as run
 // time of a task.
 
 const (
@@ -14,6 +14,9 @@
 	// clockTolerance is by how much of the elapsed time the clocks of two VMs may drift
 	// apart.
 	clockTolerance = 200e-6
+	// delaysPerRefusal is how many delays a refusal costs: its own, and those of the
+	// dispatches that follow, as the next worker is likely to be full as well.
+	delaysPerRefusal = 4
 	// maxWaitForRoom bounds the time that a dispatch may wait at an agent.
 	maxWaitForRoom = 100 * time.Millisecond
 	// maxDelay bounds what one message adds to the mean. After a pause of this process all
@@ -55,11 +58,18 @@
 	return time.Duration(c.messageDelay * float64(time.Second))
 }
 
-// waitForRoom returns how long a dispatch may wait at an agent: as long as its refusal would
-// take to be read.
-func (c *Core) waitForRoom() time.Duration { return min(c.MessageDelay(), maxWaitForRoom) }
+// waitForRoom returns how long a dispatch of the job may wait at an agent: as long as its
+// refusal would hold the task up. Half of the time until the job's latest start is left for
+// a further dispatch, unless that is less than the delay of one message.
+func (c *Core) waitForRoom(now time.Time, j *job) time.Duration {
+	wait := delaysPerRefusal * c.MessageDelay()
+	if !j.latestStart.IsZero() {
+		wait = min(wait, max(j.latestStart.Sub(now)/2, c.MessageDelay()))
+	}
+	return min(wait, maxWaitForRoom)
+}
 
 // answerAllowance returns by how much later than the run time of its task an answer may be
 // read because this entry is late: the dispatch may have waited for room, and the answer
 // waits to be read. A burst delays some messages by more than the mean.
-func (c *Core) answerAllowance() time.Duration { return 3 * c.waitForRoom() }
+func (c *Core) answerAllowance() time.Duration { return 3 * min(c.MessageDelay(), maxWaitForRoom) }
