--- a/internal/core/coretest/busyentry_test.go
+++ b/internal/core/coretest/busyentry_test.go
@@ -97,7 +97,6 @@
 	name  string
 	epoch time.Time
 	core  *agent.Core
-	ends  int
 }
 
 func (w *busyWorld) at(at time.Time, do func()) {
