Take the delay in the load line from the core

The core measures how late messages are read since it lets dispatches wait; the load line had a measure of its own without allowance for clocks that drift. No decision changes. The test of the line checks the same fields; the measuring is tested with the core.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -107,6 +107,7 @@
 	crashes       crashlog.Log
 	// messageDelay is the mean delay of the latest messages from agents, in seconds.
 	messageDelay float64
+	latestDelay  time.Duration
 	draining     bool
 	// drainUntil is when this process stops; set while draining.
 	drainUntil time.Time
--- a/internal/core/entry/lateness.go
+++ b/internal/core/entry/lateness.go
@@ -48,10 +48,14 @@
 
 // recordDelay records the delay of a message from the worker's agent.
 func (c *Core) recordDelay(now time.Time, w *worker, clock time.Duration) {
-	delay := min(w.transit.delay(now, clock), maxDelay)
-	c.messageDelay += latenessGain * (delay.Seconds() - c.messageDelay)
+	c.latestDelay = w.transit.delay(now, clock)
+	c.messageDelay += latenessGain * (min(c.latestDelay, maxDelay).Seconds() - c.messageDelay)
 }
 
+// LatestDelay returns how long the latest message from an agent was under way beyond the
+// fastest one of its agent.
+func (c *Core) LatestDelay() time.Duration { return c.latestDelay }
+
 // MessageDelay returns how long messages from agents wait to be read, on the mean of the
 // latest ones.
 func (c *Core) MessageDelay() time.Duration {
--- a/internal/core/entry/lateness_test.go
+++ b/internal/core/entry/lateness_test.go
@@ -21,6 +21,20 @@
 	f.out = nil
 }
 
+// Guards against a delay that is not seen, as the clocks of two VMs have different zeros,
+// and against one that is seen for ever because one clock is slower than the other.
+func TestDelayIsMeasuredAgainstTheFastestMessage(t *testing.T) {
+	f := newSlowdownFixture(t)
+	f.readLate(20 * time.Millisecond)
+	f.c.Check(f.core.LatestDelay(), qt.Equals, time.Duration(0))
+	f.readLate(50 * time.Millisecond)
+	f.c.Check(f.core.LatestDelay() > 29*time.Millisecond, qt.IsTrue)
+	f.c.Check(f.core.LatestDelay() <= 30*time.Millisecond, qt.IsTrue)
+	f.now = f.now.Add(5 * time.Minute)
+	f.readLate(50 * time.Millisecond)
+	f.c.Check(f.core.LatestDelay(), qt.Equals, time.Duration(0), qt.Commentf("the clocks may have drifted by as much"))
+}
+
 // Guards against dispatches that agents refuse although the entry would read the refusal
 // later than the next task ends there, and against ones that wait although the entry is
 // not late.
--- a/internal/entryd/links.go
+++ b/internal/entryd/links.go
@@ -23,10 +23,6 @@
 	metrics *telemetry.Metrics
 	// counter is nil unless messages are counted.
 	counter *linkpb.Counter
-	// leastOffset is the least difference seen between this process's clock and the one in
-	// a message of the agent; it is used only on the loop's goroutine.
-	leastOffset time.Duration
-	offsetKnown bool
 }
 
 func newLinkOutbox(cancel context.CancelFunc, metrics *telemetry.Metrics, counter *linkpb.Counter) *linkOutbox {
@@ -82,7 +78,7 @@
 	})
 	logevent.WorkerLinked.Log(s.log, zap.String("worker", hello.Worker), zap.String("failure_domain", hello.FailureDomain))
 	touch := func() { s.owners.touch(hello.Worker, hello.Incarnation, time.Now()) }
-	go s.receiveAll(ctx, cancel, id, box, stream, touch)
+	go s.receiveAll(ctx, cancel, id, stream, touch)
 	err = sendAll(ctx, box, stream)
 	s.loop.post(func(now time.Time) {
 		delete(s.loop.links, id)
@@ -112,7 +108,7 @@
 }
 
 // receiveAll passes the agent's messages to the core until the stream ends.
-func (s *linkService) receiveAll(ctx context.Context, cancel context.CancelFunc, id entry.LinkID, box *linkOutbox, stream *linkStream, touch func()) {
+func (s *linkService) receiveAll(ctx context.Context, cancel context.CancelFunc, id entry.LinkID, stream *linkStream, touch func()) {
 	defer cancel()
 	for ctx.Err() == nil {
 		frame, err := stream.Receive()
@@ -132,8 +128,8 @@
 			s.loop.recordResult(m)
 			in := entry.Received{Link: id, Clock: time.Duration(frame.GetClockNs()), Message: m}
 			s.loop.post(func(now time.Time) {
-				s.loop.load.received(now, box, in)
 				s.loop.core.Step(now, in)
+				s.loop.load.received(s.loop.core.LatestDelay(), in.Message)
 			})
 		}
 	}
--- a/internal/entryd/load.go
+++ b/internal/entryd/load.go
@@ -19,8 +19,6 @@
 // only on the loop's goroutine.
 type load struct {
 	since time.Time
-	// epoch is the zero of offsets.
-	epoch time.Time
 	// jobs, completed, refused and failed count jobs; refused includes those that were
 	// answered NotRun later.
 	jobs, completed, refused, failed int
@@ -52,15 +50,10 @@
 	l.admission.add(now.Sub(job.ReceivedAt))
 }
 
-// received records a message from an agent. The clocks of the two VMs have different
-// zeros, so the shortest time that a message of the link took counts as none.
-func (l *load) received(now time.Time, box *linkOutbox, in entry.Received) {
-	offset := now.Sub(l.epoch) - in.Clock
-	if !box.offsetKnown || offset < box.leastOffset {
-		box.leastOffset, box.offsetKnown = offset, true
-	}
-	l.message.add(offset - box.leastOffset)
-	switch m := in.Message.(type) {
+// received records a message from an agent that was under way for the given time.
+func (l *load) received(delay time.Duration, message msg.FromAgent) {
+	l.message.add(delay)
+	switch m := message.(type) {
 	case msg.Result:
 		l.results++
 	case msg.Refused:
@@ -100,7 +93,7 @@
 		return
 	}
 	c := l.load
-	l.load = load{since: now, epoch: c.epoch}
+	l.load = load{since: now}
 	if c.jobs+c.completed+c.refused+c.failed == 0 {
 		return
 	}
--- a/internal/entryd/load_test.go
+++ b/internal/entryd/load_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
@@ -20,14 +21,12 @@
 	core, lines := observer.New(zap.InfoLevel)
 	l := newLoop(entry.New(entry.Config{Name: "e", Incarnation: 1}))
 	l.log = zap.New(core)
-	now := l.load.epoch
+	now := clock.Now()
 	l.logLoad(now)
-	box := &linkOutbox{}
 	at := func(ms int64) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
-	clock := func(ms int64) time.Duration { return 5*time.Hour + time.Duration(ms)*time.Millisecond }
 	l.load.submitted(at(40), entry.Job{ReceivedAt: at(10)})
-	l.load.received(at(100), box, entry.Received{Clock: clock(99), Message: msg.Heartbeat{}})
-	l.load.received(at(200), box, entry.Received{Clock: clock(139), Message: msg.Refused{Reason: verdict.NoSlot}})
+	l.load.received(0, msg.Heartbeat{})
+	l.load.received(60*time.Millisecond, msg.Refused{Reason: verdict.NoSlot})
 	l.load.output(entry.Answered{Answer: entry.Answer{Outcome: entry.Failed, Verdict: verdict.NotRun}})
 	l.logLoad(at(1010))
 	c.Assert(lines.Len(), qt.Equals, 1)
--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -51,7 +51,6 @@
 		log:     zap.NewNop(),
 		waiters: make(map[uint64]*waiter),
 		links:   make(map[entry.LinkID]*linkOutbox),
-		load:    load{epoch: clock.Now()},
 	}
 }
 
