--- a/internal/core/entry/snapshot.go
+++ b/internal/core/entry/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 )
@@ -15,6 +16,8 @@
 	RunningTasks int
 	Links        int
 	Draining     bool
+	// MessageDelay is how late messages of agents are read.
+	MessageDelay time.Duration
 	Workers      []WorkerSnapshot
 	Accounts     []AccountSnapshot
 	Peers        []msg.Peer
@@ -49,7 +52,7 @@
 	return Snapshot{
 		Revision: c.policy.Revision, Jobs: len(c.jobs), QueuedTasks: c.queue.tasks,
 		RunningTasks: len(c.attempts), Links: len(c.workers.byLink), Draining: c.draining,
-		Workers: c.workerSnapshots(), Accounts: c.accountSnapshots(), Peers: slices.Clone(c.peers),
+		MessageDelay: c.MessageDelay(), Workers: c.workerSnapshots(), Accounts: c.accountSnapshots(), Peers: slices.Clone(c.peers),
 	}
 }
 
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -60,7 +60,7 @@
 	}
 	g := telemetry.Gauges{
 		QueuedTasks: s.QueuedTasks, RunningTasks: s.RunningTasks, OpenJobs: s.Jobs,
-		Links: s.Links, Revision: s.Revision, StoreReachable: d.storeReachable(),
+		MessageDelay: s.MessageDelay, Links: s.Links, Revision: s.Revision, StoreReachable: d.storeReachable(),
 	}
 	for _, w := range s.Workers {
 		g.FreeSlots += w.Free
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -43,6 +43,7 @@
 	ended               = define("poplarlever_tasks_ended_total", Counter, "tasks", "kind", "Tasks that ended at the endpoint (agent) or whose result arrived (entry), by kind of result.", bothRoles)
 	queued              = define("poplarlever_queued_tasks", Gauge, "tasks", "", "Tasks that wait for a slot.", Entry)
 	running             = define("poplarlever_running_tasks", Gauge, "tasks", "", "Tasks dispatched without an answer (entry) or at the endpoint (agent).", bothRoles)
+	messageDelay        = define("poplarlever_message_delay_microseconds", Gauge, "microseconds", "", "How late messages of agents are read, beyond the fastest of each agent, on the mean of the latest ones.", Entry)
 	openJobs            = define("poplarlever_open_jobs", Gauge, "jobs", "", "Jobs without an answer.", Entry)
 	freeSlots           = define("poplarlever_free_slots", Gauge, "slots", "", "Slots that take a task now (agent) or are believed to (entry).", bothRoles)
 	links               = define("poplarlever_links", Gauge, "links", "", "Links to agents (entry) or to entries (agent).", bothRoles)
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -16,6 +17,8 @@
 	Links          int
 	Revision       uint64
 	StoreReachable bool
+	// MessageDelay is how late the entry reads the messages of its agents.
+	MessageDelay time.Duration
 }
 
 // Observe exports the gauges that read returns at each collection. Read returns
@@ -28,6 +31,7 @@
 		freeSlots:      func(g Gauges) int64 { return int64(g.FreeSlots) },
 		links:          func(g Gauges) int64 { return int64(g.Links) },
 		revision:       func(g Gauges) int64 { return int64(g.Revision) },
+		messageDelay:   func(g Gauges) int64 { return g.MessageDelay.Microseconds() },
 		storeReachable: func(g Gauges) int64 { return boolToInt64(g.StoreReachable) },
 	}
 	var instruments []metric.Observable
