Refuse a dispatch at once when a resource other than cores is missing

A dispatch whose memory did not fit waited for its whole time, since only the release of cores is followed: the missing cores were none, so room was expected at once. TestDispatchDoesNotWaitForMemory failed before.

--- a/internal/core/agent/waiting.go
+++ b/internal/core/agent/waiting.go
@@ -23,12 +23,17 @@
 }
 
 // roomExpected reports whether room for the dispatch is expected within the time that it
-// may wait, behind those that already wait.
+// may wait, behind those that already wait. Only the release of cores is followed, so a
+// dispatch that lacks another resource is not expected to find it.
 func (c *Core) roomExpected(now time.Time, d msg.Dispatch) bool {
 	if !c.endpoint.leased || d.WaitForRoom <= 0 || !d.Size.FitsIn(c.endpoint.size) {
 		return false
 	}
-	missing := d.Size.Cores - c.Room().Cores
+	room, others := c.Room(), d.Size
+	if others.Cores = 0; !others.FitsIn(room) {
+		return false
+	}
+	missing := d.Size.Cores - room.Cores
 	for _, w := range c.waiting {
 		missing += w.dispatch.Size.Cores
 	}
--- a/internal/core/agent/waiting_test.go
+++ b/internal/core/agent/waiting_test.go
@@ -87,6 +87,25 @@
 	}
 }
 
+// Guards against a dispatch that waits although what it lacks is memory, whose release is
+// not followed.
+func TestDispatchDoesNotWaitForMemory(t *testing.T) {
+	f := newLeasedFixture(t)
+	f.step(agent.EndpointAnnounced{Service: "s", Slots: 8, Connections: 64, Size: msg.Size{Cores: 32, MemoryBytes: 100}, Join: 1, Number: 2, Leased: true})
+	for job := range uint64(2) {
+		d := f.dispatchOf(attempt(entry, job))
+		d.Size, d.TaskName = msg.Size{Cores: 4, MemoryBytes: 50}, "task"
+		f.receive(d)
+	}
+	f.end(attempt(entry, 0), msg.ResultOK)
+	f.core.TakeOutputs()
+	d := f.dispatchOf(attempt(other, 9))
+	d.Size, d.TaskName, d.WaitForRoom, d.EchoedClock = msg.Size{Cores: 4, MemoryBytes: 60}, "late", 50*time.Millisecond, f.core.Clock(f.now)
+	f.step(agent.Received{Entry: other, Message: d})
+	_, refused := outcomes(f)
+	f.c.Check(refused, qt.HasLen, 1)
+}
+
 // Guards against a dispatch that waits for longer than its entry allowed.
 func TestWaitEnds(t *testing.T) {
 	f, _ := newFullFixture(t)
--- a/internal/core/entry/lateness.go
+++ b/internal/core/entry/lateness.go
@@ -2,11 +2,12 @@
 
 import "time"
 
-// An entry with little processor time reads the messages of its agents late during a burst.
-// It then knows less of the workers' room, its dispatches are refused more often, and each
-// refusal is answered late as well. The entry measures how late it is, lets agents keep a
-// dispatch for about as long as a refusal would hold the task up, and does not count the delay as run
-// time of a task.
+// During a burst, an entry with little processor time reads the messages of its agents
+// late. It then knows less of the workers' room, more of its dispatches are refused, and
+// each refusal waits to be read as well. The entry measures how late it is, lets agents keep
+// a dispatch for about as long as a refusal would hold the task up, and does not count the
+// delay as run time of a task. The figure to keep high is the part of the jobs that such an
+// entry answers in time.
 
 const (
 	// latenessGain is the weight of one message in the mean delay.
