--- a/internal/core/agent/waiting_test.go
+++ b/internal/core/agent/waiting_test.go
@@ -119,8 +119,8 @@
 	f.c.Check(refused[0].Attempt, qt.Equals, waiting)
 }
 
-// Guards against the start of an attempt that the agent has said would never start, that
-// its entry cannot hear of, or that is at a worker which takes no more tasks.
+// Guards against the start of an attempt that was revoked, whose link has ended, or whose
+// worker accepts no tasks.
 func TestWaitingDispatchDoesNotStart(t *testing.T) {
 	for _, test := range []struct {
 		name string
