--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -20,6 +20,7 @@
 	"step-after-cancel":     stepAfterCancel,
 	"cancel-at-other-entry": cancelAtOtherEntry,
 	"label-of-earlier-life": labelOfEarlierLife,
+	"cancel-at-arrival":     cancelAtArrival,
 }
 
 // runCase runs a case with its record in the folder CASE_DIR.
@@ -359,3 +360,49 @@
 	}
 	return broken
 }
+
+// cancelAtArrival plays jobs that their clients cancel on another connection within 1.5 ms
+// of sending them.
+func cancelAtArrival(rec *recorder, trouble bool) ([]string, error) {
+	const (
+		jobs     = 6000
+		pause    = 9 * time.Millisecond
+		deadline = 20 * time.Second
+	)
+	s, err := newSystem(rec, 2, 2, 64000)
+	defer s.close()
+	if err != nil {
+		return nil, err
+	}
+	endOnSignal(s)
+	var (
+		clients sync.WaitGroup
+		mu      sync.Mutex
+		all     []cancelled
+	)
+	for n := range jobs {
+		e := s.entries[n%len(s.entries)]
+		j := newJob(0, step{count: 1, ms: 4000, cpu: 100})
+		clients.Go(func() {
+			rec.write("client sends %s to %s", j.id, e.name)
+			rec.write("client of %s gets %s", j.id, j.post(e.callers, deadline))
+		})
+		clients.Go(func() {
+			if !trouble {
+				return
+			}
+			time.Sleep(time.Duration(rand.IntN(1500)) * time.Microsecond)
+			a := j.cancel(e.callers)
+			rec.write("client cancels %s at %s and gets %s", j.id, e.name, a)
+			if a.status/100 == 2 {
+				mu.Lock()
+				defer mu.Unlock()
+				all = append(all, cancelled{j, time.Now().Add(cancelTime)})
+			}
+		})
+		time.Sleep(pause)
+	}
+	clients.Wait()
+	rec.write("%d jobs were cancelled with 2xx", len(all))
+	return unasked(rec, all), nil
+}
