--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -152,6 +152,10 @@
 	ackTime    = 4 * time.Second
 	// stopGrace is how long a stop takes at a worker (stopGraceMs).
 	stopGrace = 50 * time.Millisecond
+	// cancelShare and cancelFor are the part of the jobs that are cancelled and for how long
+	// (the site's longest give_up).
+	cancelShare = 0.35
+	cancelFor   = 12 * time.Second
 )
 
 // cancelled is a job whose client has cancelled it.
@@ -191,10 +195,9 @@
 // first step runs.
 func stepAfterCancel(rec *recorder, trouble bool) ([]string, error) {
 	const (
-		lasts       = 30 * time.Second
-		jobsPerS    = 90
-		cancelShare = 0.35
-		deadline    = 20
+		lasts    = cancelFor
+		jobsPerS = 90
+		deadline = 20
 	)
 	s, err := newSystem(rec, 3, 2, 64000)
 	defer s.close()
@@ -235,11 +238,11 @@
 	return unasked(rec, all), nil
 }
 
-// cancelAtOtherEntry plays clients that cancel their jobs. Half of them have moved to
-// another failure domain in between, where the balancer sends their new connections.
+// cancelAtOtherEntry plays clients, a third of which cancel their jobs. Half of these have
+// moved to another failure domain in between, where the balancer sends their new connections.
 func cancelAtOtherEntry(rec *recorder, trouble bool) ([]string, error) {
 	const (
-		jobs     = 24
+		jobs     = 60
 		steps    = 6
 		deadline = 40
 	)
@@ -258,6 +261,7 @@
 		clients.Go(func() {
 			time.Sleep(time.Duration(n) * 100 * time.Millisecond)
 			home, place := s.entries[n%len(s.entries)], s.entries[n%len(s.entries)]
+			cancels := n%3 == 0
 			if trouble && n%2 == 0 {
 				place = s.entries[(n+1)%len(s.entries)]
 			}
@@ -267,6 +271,9 @@
 			}
 			j := newJob(deadline, list...)
 			clients.Go(func() {
+				if !cancels {
+					return
+				}
 				time.Sleep(time.Second)
 				if place != home {
 					rec.write("client of %s has moved from %s to %s", j.id, home.zone, place.zone)
@@ -361,15 +368,18 @@
 	return broken
 }
 
-// cancelAfterFreeze plays jobs of two steps that their clients cancel 200 ms after sending
-// them, on a second connection, while one entry after the other stands still for a time.
+// cancelAfterFreeze plays jobs of two steps. In waves, part of them are cancelled by their
+// clients 200 ms after they were sent, on a second connection, while one entry after the
+// other stands still for a time.
 func cancelAfterFreeze(rec *recorder, trouble bool) ([]string, error) {
 	const (
-		freezes     = 12
-		freezeEvery = 5 * time.Second
-		freezeFor   = 2200 * time.Millisecond
-		jobsPerS    = 140
-		deadline    = 20 * time.Second
+		waves     = 5
+		waveEvery = cancelFor + 4*time.Second
+		freezes   = 3
+		freezeFor = 2200 * time.Millisecond
+		freezeGap = 1600 * time.Millisecond
+		jobsPerS  = 140
+		deadline  = 20 * time.Second
 	)
 	s, err := newSystem(rec, 3, 2, 64000)
 	defer s.close()
@@ -382,9 +392,14 @@
 		mu      sync.Mutex
 		all     []cancelled
 	)
+	began := time.Now()
 	client := func(e *entry) {
 		j := newJob(0, step{count: 1, ms: 3500, cpu: 100}, step{count: 1, ms: 1000, cpu: 100, after: []int{0}})
+		cancels := time.Since(began)%waveEvery < cancelFor && rand.Float64() < cancelShare
 		clients.Go(func() {
+			if !cancels {
+				return
+			}
 			time.Sleep(200 * time.Millisecond)
 			a := j.cancel(e.callers)
 			rec.write("client cancels %s at %s and gets %s", j.id, e.name, a)
@@ -397,10 +412,11 @@
 		rec.write("client sends %s to %s", j.id, e.name)
 		rec.write("client of %s gets %s", j.id, j.post(e.callers, deadline))
 	}
-	stop := time.Now().Add(freezes * freezeEvery)
+	stop := began.Add(waves * waveEvery)
 	clients.Go(func() {
-		for n := 0; trouble && n < freezes; n++ {
-			time.Sleep(freezeEvery - freezeFor)
+		for n := 0; trouble && n < waves*freezes; n++ {
+			at := time.Duration(n/freezes)*waveEvery + time.Duration(n%freezes)*(freezeFor+freezeGap) + freezeGap/2
+			time.Sleep(time.Until(began.Add(at)))
 			e := s.entries[n%len(s.entries)]
 			rec.write("%s stands still", e.name)
 			_ = e.cmd.Process.Signal(syscall.SIGSTOP)
