--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -37,6 +37,13 @@
 	return counts
 }
 
+// logInvariants logs the violations of invariants that the process finds.
+func logInvariants(log *zap.Logger) {
+	invariant.SetObserver(func(v invariant.Violation) {
+		logevent.InvariantBroken.Log(log, zap.Stringer("invariant", v.Name), zap.String("detail", v.Detail))
+	})
+}
+
 // epoch is the time at which an agent's clock reads zero.
 type epoch time.Time
 
@@ -100,6 +107,7 @@
 }
 
 func entryDaemon(s settings.Entry, core *entry.Core, incarnation msg.Incarnation, server *httpserver.Server, t tlsconfig.Config, m *telemetry.Metrics, log *zap.Logger) (*entryd.Daemon, error) {
+	logInvariants(log)
 	options := []entryd.Option{
 		entryd.WithFailureDomain(s.FailureDomain), entryd.WithReadyDelay(s.ReadyDelay.Duration),
 		entryd.WithMetrics(m), entryd.WithAdvertise(s.Advertise), entryd.WithClientTLS(t.Client),
@@ -121,6 +129,7 @@
 }
 
 func agentDaemon(s settings.Agent, core *agent.Core, clockEpoch epoch, server *httpserver.Server, t tlsconfig.Config, m *telemetry.Metrics, log *zap.Logger) *agentd.Daemon {
+	logInvariants(log)
 	options := []agentd.Option{
 		agentd.WithLinks(s.Links), agentd.WithFailureDomain(s.FailureDomain), agentd.WithReadyDelay(s.ReadyDelay.Duration), agentd.WithMetrics(m), agentd.WithClientTLS(t.Client),
 	}
--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -62,6 +62,7 @@
 	i := c.queue.pop(j)
 	t := &j.tasks[i]
 	invariant.Check(t.attempt == nil && t.state == taskQueued && t.unresolved == 0, invariant.OneAttempt, "task %d of job %d is dispatched again without proof", i, j.spec.ID)
+	invariant.Check(j.pendingFailure == nil && !j.answered, invariant.NothingAfterEnd, "task %d of job %d is dispatched after the end of the job was decided", i, j.spec.ID)
 	t.state = taskDispatched
 	t.attempts++
 	t.unresolved++
@@ -154,6 +155,9 @@
 		return
 	}
 	c.settle(a)
+	if a.job.pendingFailure != nil {
+		c.emit(ResultAfterEnd{Job: a.job.spec.ID, Kind: r.Kind})
+	}
 	if r.Kind == msg.ResultOK || r.Kind == msg.ResultEndpointError {
 		c.usage.End(a.job.spec.Account)
 	} else {
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -168,6 +168,23 @@
 	Silence  time.Duration
 }
 
+// JobEnding reports that the end of a job is decided while attempts of it are outstanding.
+// Its answer follows once they are settled.
+type JobEnding struct {
+	Job    uint64
+	Reason verdict.Reason
+	// Outstanding counts the attempts whose outcome is not known, Dropped the queued tasks
+	// that never start.
+	Outstanding, Dropped int
+}
+
+// ResultAfterEnd reports the result of a task that came after the end of its job was
+// decided.
+type ResultAfterEnd struct {
+	Job  uint64
+	Kind msg.ResultKind
+}
+
 // JobTypeConfined reports that tasks of a job type may use a part of the workers only, or
 // may use all of them again.
 type JobTypeConfined struct {
@@ -184,6 +201,8 @@
 func (WorkerJudged) output()     {}
 func (JobTypeConfined) output()  {}
 func (AttemptsReleased) output() {}
+func (JobEnding) output()        {}
+func (ResultAfterEnd) output()   {}
 
 // Outcome says how a job ended.
 type Outcome uint8
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -240,6 +240,9 @@
 		return
 	}
 	j.pendingFailure = &answer
+	if j.running > 0 {
+		c.emit(JobEnding{Job: j.spec.ID, Reason: answer.Reason, Outstanding: j.running, Dropped: len(j.queuedTasks)})
+	}
 	c.queue.remove(j)
 	c.revokeAttempts(j)
 	c.finishIfSettled(j)
--- a/internal/entryd/frontdoor.go
+++ b/internal/entryd/frontdoor.go
@@ -99,7 +99,7 @@
 			return cancelledBeforeSubmit()
 		}
 	}
-	answer := r.submit(ctx, job, nil)
+	answer := r.submit(ctx, name, job, nil)
 	r.names.finish(name, answer)
 	return answer
 }
--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -37,6 +37,8 @@
 
 // waiter receives the progress and the answer of one job.
 type waiter struct {
+	// name is the job's name, empty if the caller gave it none.
+	name        string
 	submittedAt time.Time
 	answer      chan entry.Answer
 	// progress is nil unless the caller asked for it. It holds only the newest value.
@@ -149,6 +151,11 @@
 				zap.Int("attempts", out.Attempts), zap.Int64("silence_ms", out.Silence.Milliseconds()))
 		case entry.JobTypeConfined:
 			logevent.JobTypeConfined.Log(l.log, zap.String("service", out.Service), zap.String("job_type", out.JobType), zap.Bool("confined", out.Confined))
+		case entry.JobEnding:
+			if w, ok := l.waiters[out.Job]; ok {
+				logevent.JobEnding.Log(l.log, zap.String("job", w.name), zap.Stringer("reason", out.Reason),
+					zap.Int("outstanding", out.Outstanding), zap.Int("dropped", out.Dropped))
+			}
 		case entry.Answered:
 			if w, ok := l.waiters[out.Job]; ok {
 				delete(l.waiters, out.Job)
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -29,6 +29,8 @@
 		if out.Confined {
 			l.metrics.JobTypeConfined()
 		}
+	case entry.ResultAfterEnd:
+		l.metrics.EndedAfterJob(out.Kind)
 	case entry.WorkerConflict:
 		l.metrics.WorkerConflict()
 	case entry.Send:
--- a/internal/entryd/runner.go
+++ b/internal/entryd/runner.go
@@ -34,19 +34,19 @@
 	if r.names.reserve(name, job.ID) != nil {
 		return refuse(verdict.DuplicateJob, "a job with this id is in progress")
 	}
-	answer := r.submit(ctx, job, report)
+	answer := r.submit(ctx, name, job, report)
 	r.names.finish(name, answer)
 	return answer
 }
 
 // submit passes the job to the core and waits for its answer. A job is not started for a
 // caller that has gone: while this process was paused, it may have sent the job elsewhere.
-func (r *runner) submit(ctx context.Context, job entry.Job, report func(entry.Progress) error) entry.Answer {
+func (r *runner) submit(ctx context.Context, name jobName, job entry.Job, report func(entry.Progress) error) entry.Answer {
 	job.ReceivedAt = clock.Now()
 	if httpserver.ConnectionOf(ctx).Closed() {
 		return cancelledBeforeSubmit()
 	}
-	w := &waiter{submittedAt: time.Now(), answer: make(chan entry.Answer, 1)}
+	w := &waiter{name: name.id, submittedAt: time.Now(), answer: make(chan entry.Answer, 1)}
 	if report != nil {
 		w.progress = make(chan entry.Progress, 1)
 		job.Progress = true
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"sync/atomic"
 )
 
@@ -30,6 +31,9 @@
 	SettledOnce
 	// WithinAllotment: a task starts only within the entry's allotment for its account.
 	WithinAllotment
+	// NothingAfterEnd: no task of a job is queued or dispatched once the job's end is
+	// decided.
+	NothingAfterEnd
 
 	nameCount
 )
@@ -37,7 +41,7 @@
 var names = [nameCount]string{
 	"one_attempt", "answered_once", "whole_answer", "not_run_proven",
 	"slots_in_range", "revision_forward", "settled_once",
-	"within_allotment",
+	"within_allotment", "nothing_after_end",
 }
 
 // String returns the name used in metrics and logs.
@@ -67,10 +71,16 @@
 func (v Violation) Error() string { return fmt.Sprintf("invariant %s violated: %s", v.Name, v.Detail) }
 
 var (
-	counts [nameCount]atomic.Uint64
-	fatal  atomic.Bool
+	counts   [nameCount]atomic.Uint64
+	fatal    atomic.Bool
+	observer atomic.Pointer[func(Violation)]
 )
 
+// SetObserver sets the function that is called with the violations of an invariant whose
+// ordinal is a power of two, so that a fault that recurs is reported a bounded number of
+// times. It must not block.
+func SetObserver(observe func(Violation)) { observer.Store(&observe) }
+
 // SetFatal sets whether a violation panics with a Violation; off by default.
 func SetFatal(on bool) { fatal.Store(on) }
 
@@ -78,12 +88,15 @@
 func Count(n Name) uint64 { return counts[n].Load() }
 
 // Check counts a violation of invariant n unless the condition holds. The detail
-// is formatted only when a fatal violation is raised.
+// is formatted only when the violation is reported or fatal.
 func Check(condition bool, n Name, detail string, args ...any) {
 	if condition {
 		return
 	}
-	counts[n].Add(1)
+	ordinal := counts[n].Add(1)
+	if observe := observer.Load(); observe != nil && bits.OnesCount64(ordinal) == 1 {
+		(*observe)(Violation{Name: n, Detail: fmt.Sprintf(detail, args...)})
+	}
 	if fatal.Load() {
 		panic(Violation{Name: n, Detail: fmt.Sprintf(detail, args...)})
 	}
--- a/internal/invariant/invariant_test.go
+++ b/internal/invariant/invariant_test.go
@@ -26,3 +26,22 @@
 	defer invariant.SetFatal(false)
 	c.Check(func() { invariant.Check(false, invariant.OneAttempt, "is %d", 2) }, qt.PanicMatches, "invariant one_attempt violated: is 2")
 }
+
+// Guards against a violation that only a counter shows, and against a fault that recurs and
+// floods the log.
+func TestObserverSeesTheFirstViolations(t *testing.T) {
+	c := qt.New(t)
+	var seen []invariant.Violation
+	invariant.SetObserver(func(v invariant.Violation) { seen = append(seen, v) })
+	defer invariant.SetObserver(func(invariant.Violation) {})
+	before := invariant.Count(invariant.NothingAfterEnd)
+	for i := before; i < 16; i++ {
+		invariant.Check(false, invariant.NothingAfterEnd, "is %d", i+1)
+	}
+	var ordinals []string
+	for _, v := range seen {
+		c.Check(v.Name, qt.Equals, invariant.NothingAfterEnd)
+		ordinals = append(ordinals, v.Detail)
+	}
+	c.Check(ordinals, qt.DeepEquals, []string{"is 2", "is 4", "is 8", "is 16"})
+}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -41,6 +41,7 @@
 	dispatched          = define("poplarlever_tasks_dispatched_total", Counter, "tasks", "", "Attempts sent to agents.", Entry)
 	started             = define("poplarlever_tasks_started_total", Counter, "tasks", "", "Tasks passed to the endpoint.", Agent)
 	ended               = define("poplarlever_tasks_ended_total", Counter, "tasks", "kind", "Tasks that ended at the endpoint (agent) or whose result arrived (entry), by kind of result.", bothRoles)
+	endedLate           = define("poplarlever_results_after_end_total", Counter, "tasks", "kind", "Results of tasks that came after the end of their job was decided, by kind of result; tasks that were stopped are left out.", Entry)
 	queued              = define("poplarlever_queued_tasks", Gauge, "tasks", "", "Tasks that wait for a slot.", Entry)
 	running             = define("poplarlever_running_tasks", Gauge, "tasks", "", "Tasks dispatched without an answer (entry) or at the endpoint (agent).", bothRoles)
 	messageDelay        = define("poplarlever_message_delay_microseconds", Gauge, "microseconds", "", "How late messages of agents are read, beyond the fastest of each agent, on the mean of the latest ones.", Entry)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -42,6 +42,7 @@
 	workerHealth                      *labelledCounter
 	announceRefusals                  *labelledCounter
 	workerCrashes, jobTypesConfined   *labelledCounter
+	endedLate                         *labelledCounter
 	sent, received                    messageCounters
 	answerTime                        metric.Float64Histogram
 }
@@ -95,9 +96,10 @@
 	for _, h := range verdict.WorkerHealths() {
 		m.workerHealth.add(h.String(), 0)
 	}
-	m.ended = m.newCounter(ended, "kind")
+	m.ended, m.endedLate = m.newCounter(ended, "kind"), m.newCounter(endedLate, "kind")
 	for _, name := range resultKinds {
 		m.ended.add(name, 0)
+		m.endedLate.add(name, 0)
 	}
 }
 
@@ -165,6 +167,14 @@
 	}
 }
 
+// EndedAfterJob counts a result that came after the end of its job was decided, in the way
+// that TaskEnded does.
+func (m *Metrics) EndedAfterJob(kind msg.ResultKind) {
+	if name, ok := resultKinds[kind]; ok {
+		m.endedLate.add(name, 1)
+	}
+}
+
 // labelledCounter is a counter with at most one label. A nil labelledCounter
 // counts nothing; it is used for metrics that the role does not export.
 type labelledCounter struct {
