--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -49,6 +49,8 @@
 	quiesced bool
 	// longTasks makes some tasks take seconds.
 	longTasks bool
+	// inSteps makes each task of a job a step that comes after the one before.
+	inSteps bool
 	// runTimes holds the run times of single tasks.
 	runTimes map[string]time.Duration
 	// idleHeartbeat is the heartbeat interval of links without tasks.
@@ -398,6 +400,10 @@
 		job.Tasks = append(job.Tasks, entry.Task{
 			Name: fmt.Sprintf("%s.%d", name, i), DeclaredSize: msg.Size{Cores: 1}, DeclaredRunTime: 200 * time.Millisecond,
 		})
+		if w.inSteps {
+			job.Tasks[i].Step = i
+			job.Steps = append(job.Steps, entry.Step{After: []int{i - 1}[:min(i, 1)]})
+		}
 	}
 	e.openJobs[id] = name
 	w.whenResumed(&e.pausedUntil, func() {
--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -62,7 +62,7 @@
 	i := c.queue.pop(j)
 	t := &j.tasks[i]
 	invariant.Check(t.attempt == nil && t.state == taskQueued && t.unresolved == 0, invariant.OneAttempt, "task %d of job %d is dispatched again without proof", i, j.spec.ID)
-	invariant.Check(j.pendingFailure == nil && !j.answered, invariant.NothingAfterEnd, "task %d of job %d is dispatched after the end of the job was decided", i, j.spec.ID)
+	invariant.Check(j.phase == jobOpen, invariant.NothingAfterEnd, "task %d of job %d is dispatched after the end of the job was decided", i, j.spec.ID)
 	t.state = taskDispatched
 	t.attempts++
 	t.unresolved++
@@ -111,7 +111,7 @@
 }
 
 // attemptNotStarted handles proof that an attempt did not start: the task is queued again
-// or, when its job is failing, counts as not run.
+// or, when its job is ending, counts as not run.
 func (c *Core) attemptNotStarted(a *attempt, reason verdict.RetryReason) {
 	c.settle(a)
 	c.usage.End(a.job.spec.Account)
@@ -119,11 +119,11 @@
 	c.requeue(a.job, a.task, reason)
 }
 
-// requeue queues a task without an outstanding attempt again, unless its job is failing.
+// requeue queues a task without an outstanding attempt again, unless its job is ending.
 func (c *Core) requeue(j *job, task int, reason verdict.RetryReason) {
 	t := &j.tasks[task]
 	t.state = taskQueued
-	if j.pendingFailure != nil {
+	if j.phase != jobOpen {
 		c.finishIfSettled(j)
 		return
 	}
@@ -155,7 +155,7 @@
 		return
 	}
 	c.settle(a)
-	if a.job.pendingFailure != nil {
+	if a.job.phase == jobEnding {
 		c.emit(ResultAfterEnd{Job: a.job.spec.ID, Kind: r.Kind})
 	}
 	if r.Kind == msg.ResultOK || r.Kind == msg.ResultEndpointError {
@@ -197,7 +197,7 @@
 
 // failTask fails the job because one of its tasks failed.
 func (c *Core) failTask(j *job, reason verdict.Reason, message string) {
-	if j.pendingFailure != nil {
+	if j.phase != jobOpen {
 		c.finishIfSettled(j)
 		return
 	}
@@ -326,7 +326,7 @@
 	c.failTask(a.job, verdict.WorkerLost, message)
 }
 
-// giveUpAttempts gives up the outstanding attempts of a failing job, as possibly run, and
+// giveUpAttempts gives up the outstanding attempts of an ending job, as possibly run, and
 // answers it without waiting for the agents.
 func (c *Core) giveUpAttempts(j *job) {
 	for i := range j.tasks {
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -9,7 +9,6 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
-	"github.com/poplarlever/poplarlever/internal/invariant"
 )
 
 type taskState uint8
@@ -43,10 +42,9 @@
 	runs []taskRun
 	// unfinishedByStep counts the unfinished tasks of each step.
 	unfinishedByStep []int
-	// pendingFailure is the answer of a failing job, which only waits for the verdicts of
-	// its dispatched tasks; nil for other jobs.
-	pendingFailure *Answer
-	answered       bool
+	phase            jobPhase
+	// pendingAnswer is the answer of an ending job, without its verdict.
+	pendingAnswer Answer
 }
 
 type task struct {
@@ -227,84 +225,6 @@
 	}
 }
 
-// failJob fails a job that cannot complete. Its queued tasks are dropped and its
-// outstanding attempts are revoked. The answer waits until the verdict of each dispatched
-// task is known.
-func (c *Core) failJob(j *job, reason verdict.Reason, message string) {
-	c.failWith(j, Answer{Outcome: Failed, Reason: reason, Message: message})
-}
-
-// failWith fails a job with an answer that lacks its verdict.
-func (c *Core) failWith(j *job, answer Answer) {
-	if j.pendingFailure != nil {
-		return
-	}
-	j.pendingFailure = &answer
-	if j.running > 0 {
-		c.emit(JobEnding{Job: j.spec.ID, Reason: answer.Reason, Outstanding: j.running, Dropped: len(j.queuedTasks)})
-	}
-	c.queue.remove(j)
-	c.revokeAttempts(j)
-	c.finishIfSettled(j)
-}
-
-// finishIfSettled answers a failing or complete job once it has no outstanding attempts.
-func (c *Core) finishIfSettled(j *job) {
-	if j.running > 0 {
-		return
-	}
-	if j.pendingFailure != nil {
-		answer := *j.pendingFailure
-		answer.Verdict = j.jobVerdict()
-		c.finish(j, answer)
-		return
-	}
-	if j.unfinished > 0 {
-		return
-	}
-	results := make([]TaskResult, len(j.tasks))
-	for i := range j.tasks {
-		results[i] = j.tasks[i].result
-	}
-	c.finish(j, Answer{Outcome: Complete, Results: results, Verdict: verdict.Ran})
-}
-
-// jobVerdict is NotRun when no task may have run, Ran when every task that
-// started is known to have ended, and MayHaveRun otherwise.
-func (j *job) jobVerdict() verdict.Verdict {
-	result := verdict.NotRun
-	for i := range j.tasks {
-		switch j.tasks[i].verdict {
-		case verdict.MayHaveRun:
-			return verdict.MayHaveRun
-		case verdict.Ran:
-			result = verdict.Ran
-		}
-	}
-	return result
-}
-
-func (c *Core) finish(j *job, answer Answer) {
-	checkAnswer(j, answer)
-	j.answered = true
-	delete(c.jobs, j.spec.ID)
-	c.stopTimer(&j.timer)
-	c.emit(Answered{Job: j.spec.ID, Answer: answer})
-}
-
-// checkAnswer checks the invariants of an answer: it is the job's only one, a complete one
-// has every result, and NotRun is proven.
-func checkAnswer(j *job, answer Answer) {
-	invariant.Check(!j.answered, invariant.AnsweredOnce, "job %d is answered again", j.spec.ID)
-	whole := answer.Outcome != Complete || len(answer.Results) == len(j.tasks)
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		whole = whole && (answer.Outcome != Complete || t.state == taskFinished && t.verdict == verdict.Ran)
-		invariant.Check(answer.Verdict != verdict.NotRun || t.unresolved == 0, invariant.NotRunProven, "job %d is answered not run, but task %d may have started", j.spec.ID, i)
-	}
-	invariant.Check(whole, invariant.WholeAnswer, "job %d is answered complete without every result", j.spec.ID)
-}
-
 // handleJobTimer refuses a job that has not started in time and fails one past its
 // deadline. Attempts that the agents have not answered verdictWait after the deadline
 // count as possibly run.
@@ -314,7 +234,7 @@
 		return
 	}
 	c.failJob(j, verdict.DeadlineExceeded, "the deadline passed before every task had ended")
-	if j.answered {
+	if j.phase == jobAnswered {
 		return
 	}
 	end := j.spec.Deadline.Add(verdictWait)
@@ -337,7 +257,7 @@
 func (c *Core) failAll(reason verdict.Reason) {
 	for _, j := range c.orderedJobs() {
 		c.failJob(j, reason, "the entry stopped")
-		if !j.answered {
+		if j.phase != jobAnswered {
 			c.giveUpAttempts(j)
 		}
 	}
--- a/internal/core/entry/leased.go
+++ b/internal/core/entry/leased.go
@@ -87,7 +87,7 @@
 // retryTask queues a task whose earlier attempt is proven to have ended, if its job type
 // lets it start twice; otherwise the job fails.
 func (c *Core) retryTask(j *job, task int, reason verdict.RetryReason) {
-	if j.pendingFailure == nil && !j.restartable() {
+	if j.phase == jobOpen && !j.restartable() {
 		j.tasks[task].state = taskFinished
 		c.failTask(j, verdict.WorkerLost, "the worker lost a task")
 		return
@@ -103,7 +103,7 @@
 			continue
 		}
 		c.failJob(j, verdict.EntryPaused, "the entry was paused")
-		if !j.answered {
+		if j.phase != jobAnswered {
 			c.giveUpAttempts(j)
 		}
 	}
--- a/internal/core/entry/overload.go
+++ b/internal/core/entry/overload.go
@@ -132,7 +132,7 @@
 
 // refuseLate fails a job that no worker had room for.
 func (c *Core) refuseLate(now time.Time, j *job) {
-	c.failWith(j, Answer{
+	c.decideEnd(j, Answer{
 		Outcome: Failed, Reason: verdict.WouldMissDeadline, Message: "no worker had room in time",
 		RetryAfter: c.retryAfterRoom(now, j.spec.Service),
 	})
--- a/internal/core/entry/queue.go
+++ b/internal/core/entry/queue.go
@@ -8,6 +8,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/forecast"
 	"github.com/poplarlever/poplarlever/internal/core/limits"
+	"github.com/poplarlever/poplarlever/internal/invariant"
 )
 
 // queue holds the tasks that wait for a slot: by service, then by account,
@@ -96,8 +97,13 @@
 	return a
 }
 
-// push queues a task of the job.
+// push queues a task of an open job. It refuses a task of any other job, which would be
+// dispatched after the job's end was decided.
 func (q *queue) push(j *job, task int) {
+	invariant.Check(j.phase == jobOpen, invariant.NothingAfterEnd, "task %d of job %d is queued after the end of the job was decided", task, j.spec.ID)
+	if j.phase != jobOpen {
+		return
+	}
 	a := q.account(j.spec.Service, j.spec.Account)
 	if a.tasks == 0 {
 		a.virtualTime = max(a.virtualTime, q.services[j.spec.Service].minVirtualTime())
--- a/internal/core/entry/steps.go
+++ b/internal/core/entry/steps.go
@@ -24,13 +24,14 @@
 }
 
 // taskDone counts a finished task. When it was the last of its step, the tasks of steps
-// that only waited for this step are queued.
+// that only waited for this step are queued, unless the job is ending: a task may complete
+// before its stop takes effect.
 func (c *Core) taskDone(j *job, task int) {
 	step := j.spec.Tasks[task].Step
 	if step >= len(j.unfinishedByStep) {
 		return
 	}
-	if j.unfinishedByStep[step]--; j.unfinishedByStep[step] > 0 {
+	if j.unfinishedByStep[step]--; j.unfinishedByStep[step] > 0 || j.phase != jobOpen {
 		return
 	}
 	for i := range j.tasks {
