--- a/internal/entryd/frontdoor.go
+++ b/internal/entryd/frontdoor.go
@@ -55,8 +55,8 @@
 }
 
 // Submit runs a job and returns its answer. If a job of the same name is in progress,
-// Submit waits for its end and returns its answer if that is complete; otherwise it
-// runs the new job. When ctx ends, what has not ended is stopped.
+// Submit waits for its end and returns its answer if that is complete or the job was
+// cancelled by its name; otherwise it runs the new job. When ctx ends, what has not ended is stopped.
 func (f *FrontDoor) Submit(ctx context.Context, name string, job entry.Job) entry.Answer {
 	arrived := time.Now()
 	answer := f.daemon.jobs.submitNamed(ctx, jobName{job.Account, name}, job)
@@ -82,7 +82,7 @@
 }
 
 // submitNamed runs a job. While another job has its name, it first waits for that job,
-// and returns that job's answer if it is complete.
+// and returns that job's answer if it is complete or was cancelled by its name.
 func (r *runner) submitNamed(ctx context.Context, name jobName, job entry.Job) entry.Answer {
 	job.ID = r.lastJobID.Add(1)
 	for {
@@ -90,13 +90,8 @@
 		if earlier == nil {
 			break
 		}
-		select {
-		case <-earlier.done:
-			if earlier.answer.Outcome == entry.Complete {
-				return earlier.answer
-			}
-		case <-ctx.Done():
-			return cancelledBeforeSubmit()
+		if answer, final := earlier.await(ctx); final {
+			return answer
 		}
 	}
 	answer := r.submit(ctx, name, job, nil)
@@ -104,6 +99,17 @@
 	return answer
 }
 
+// await waits for the job's end and reports whether its answer is also that of a later
+// request with its name.
+func (j *namedJob) await(ctx context.Context) (answer entry.Answer, final bool) {
+	select {
+	case <-j.done:
+		return j.answer, j.answer.Outcome == entry.Complete || j.cancelled
+	case <-ctx.Done():
+		return cancelledBeforeSubmit(), true
+	}
+}
+
 // cancelledBeforeSubmit is the answer to a job whose caller left before the core
 // received it.
 func cancelledBeforeSubmit() entry.Answer {
--- a/internal/entryd/jobnames.go
+++ b/internal/entryd/jobnames.go
@@ -9,12 +9,14 @@
 // jobName is the job id that a caller chose, unique within the account.
 type jobName struct{ account, id string }
 
-// namedJob is a job in progress that has a name. answer may be read once done is
-// closed.
+// namedJob is a job in progress that has a name. answer and cancelled may be read once done
+// is closed.
 type namedJob struct {
 	coreID uint64
 	done   chan struct{}
 	answer entry.Answer
+	// cancelled is set once the job was cancelled by its name.
+	cancelled bool
 }
 
 // jobNames maps the names of jobs in progress to the core's job IDs.
@@ -51,12 +53,22 @@
 	}
 }
 
-func (n *jobNames) lookup(name jobName) (uint64, bool) {
+// cancel marks the job that has the name as cancelled and returns the core's job ID.
+func (n *jobNames) cancel(name jobName) (uint64, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	j, ok := n.jobs[name]
 	if !ok {
 		return 0, false
 	}
+	j.cancelled = true
 	return j.coreID, true
 }
+
+// isCancelled reports whether the job that has the name was cancelled by it.
+func (n *jobNames) isCancelled(name jobName) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	j, ok := n.jobs[name]
+	return ok && j.cancelled
+}
--- a/internal/entryd/runner.go
+++ b/internal/entryd/runner.go
@@ -54,8 +54,13 @@
 	var received atomic.Bool
 	r.loop.post(func(now time.Time) {
 		received.Store(true)
-		r.loop.waiters[job.ID] = w
 		r.loop.load.submitted(now, job)
+		if r.names.isCancelled(name) {
+			// The core dropped the cancel, since it came before the job.
+			w.answer <- cancelledBeforeSubmit()
+			return
+		}
+		r.loop.waiters[job.ID] = w
 		r.loop.core.Step(now, entry.Submit{Job: job})
 	})
 	return r.wait(ctx, job.ID, w, &received, report)
@@ -98,6 +103,6 @@
 // cancel cancels the tasks of a named job that have not started. It reports whether the
 // job was found.
 func (r *runner) cancel(name jobName) bool {
-	id, found := r.names.lookup(name)
+	id, found := r.names.cancel(name)
 	return found && r.loop.step(entry.Cancel{Job: id})
 }
