--- a/internal/processtest/soak_caller_test.go
+++ b/internal/processtest/soak_caller_test.go
@@ -30,6 +30,9 @@
 	conns map[*soakProcess]*callerConn
 	// silent makes connections of the caller fall silent.
 	silent bool
+	// cancels chooses the steps of the caller's jobs and which of them it cancels. It is nil
+	// for a caller that cancels none and whose jobs have one step.
+	cancels *rand.Rand
 }
 
 type callerConn struct {
@@ -58,20 +61,39 @@
 	case n < 230+c.s.crashingPerMille:
 		plan.Crashes = true
 	}
-	return c.newJob(plan, 1+c.rng.IntN(4))
+	count := 1 + c.rng.IntN(4)
+	if c.cancels == nil {
+		return c.newJob(plan, count)
+	}
+	if c.cancels.IntN(2) == 0 {
+		// The second step still runs when the job is to be gone, or runs again elsewhere.
+		plan = taskPlan{Ms: 100 + c.cancels.IntN(200), LaterMs: int((cancelLimit + 2*maxHeldUp) / time.Millisecond)}
+	}
+	job := c.newJob(plan, randomSteps(c.cancels)...)
+	job.deadline = job.deadline.Add(longSteps)
+	return job
 }
 
-// newJob returns a job with a number of equal tasks.
-func (c *soakCaller) newJob(plan taskPlan, count int) soakJob {
+// newJob returns a job of steps, one after the other, with these numbers of equal tasks.
+func (c *soakCaller) newJob(plan taskPlan, counts ...int) soakJob {
 	spec, _ := json.Marshal(plan)
 	job := soakJob{id: fmt.Sprintf("%016x", c.rng.Uint64()), deadline: time.Now().Add(randomTime(c.rng, 2*time.Second, 8*time.Second))}
-	for i := range count {
-		job.tasks = append(job.tasks, fmt.Sprintf("%s.0.0.%d", job.id, i))
+	var steps []any
+	for k, count := range counts {
+		for i := range count {
+			job.tasks = append(job.tasks, fmt.Sprintf("%s.0.%d.%d", job.id, k, i))
+		}
+		step := map[string]any{"count": count, "cpu": 1000, "memMb": 256, "estimateMs": min(plan.Ms, 600)}
+		if k > 0 {
+			step["after"] = []int{k - 1}
+		}
+		steps = append(steps, step)
 	}
-	body, _ := json.Marshal(map[string]any{"spec": string(spec), "bestEffort": true, "steps": []any{
-		map[string]any{"count": count, "cpu": 1000, "memMb": 256, "estimateMs": min(plan.Ms, 600)},
-	}})
+	body, _ := json.Marshal(map[string]any{"spec": string(spec), "bestEffort": true, "steps": steps})
 	job.body = string(body)
+	if len(counts) > 1 {
+		c.s.locked(func() { c.s.stepTasks[job.id] = job.tasks })
+	}
 	return job
 }
 
@@ -90,8 +112,13 @@
 func (c *soakCaller) submit(job soakJob) {
 	e := c.s.entries[c.rng.IntN(len(c.s.entries))]
 	refusedOnly := true
+	cancel := c.planCancel(job, e)
 	for !c.s.over() && time.Now().Before(job.deadline) {
 		status, retryAfter := c.try(e, job)
+		if cancel.endOfTry() {
+			// A caller that has cancelled its job does not send it again.
+			job.deadline = time.Now()
+		}
 		if c.s.over() {
 			return
 		}
--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -70,7 +70,11 @@
 	// so.
 	runs, done map[string]bool
 	refused    map[string]bool
-	counts     map[string]int
+	// cancelled has the time from which no task of a cancelled job may start; stepTasks has
+	// the tasks of jobs of several steps.
+	cancelled map[string]time.Time
+	stepTasks map[string][]string
+	counts    map[string]int
 	// heldUpUntil is the end of the latest pause of this process.
 	heldUpUntil time.Time
 
@@ -162,6 +166,7 @@
 func (s *soak) started(w *soakWorker, task string, run uint32) {
 	s.counts["runs"]++
 	s.runs[task] = true
+	s.checkStart(w, task)
 	if job, _, _ := strings.Cut(task, "."); s.refused[job] {
 		s.failf("%s runs at %s although its job was refused", task, w.name)
 	}
@@ -356,6 +361,7 @@
 	s := &soak{
 		c: qt.New(t), seed: seed, dir: dir, events: events, overCh: make(chan struct{}), runs: make(map[string]bool),
 		done: make(map[string]bool), refused: make(map[string]bool), counts: make(map[string]int),
+		cancelled: make(map[string]time.Time), stepTasks: make(map[string][]string),
 	}
 	t.Cleanup(s.shutDown)
 	s.store = startStore(s.c, soakTable)
@@ -404,6 +410,9 @@
 	for i := range soakCallers {
 		caller := s.newCaller(i)
 		caller.silent = *soakSilent && i%4 == 0
+		if i%3 == 0 {
+			caller.cancels = s.random(uint64(300 + i))
+		}
 		group.Go(caller.run)
 	}
 	group.Go(func() { s.sleep(2 * time.Second); s.disturb(rng, faults) })
@@ -439,6 +448,7 @@
 			for _, w := range s.workers {
 				if w.life != nil {
 					w.life.logEnds()
+					s.checkRunning(w.life)
 				}
 			}
 		})
--- a/internal/processtest/soak_worker_test.go
+++ b/internal/processtest/soak_worker_test.go
@@ -56,14 +56,19 @@
 
 // taskPlan is the spec of a task.
 type taskPlan struct {
-	Ms    int  `json:"ms"`
-	Hangs bool `json:"hangs,omitempty"`
-	Fails bool `json:"fails,omitempty"`
+	Ms int `json:"ms"`
+	// LaterMs is the run time of tasks of later steps, unless it is 0.
+	LaterMs int  `json:"later_ms,omitempty"`
+	Hangs   bool `json:"hangs,omitempty"`
+	Fails   bool `json:"fails,omitempty"`
 	// Crashes makes the worker crash at the end of the task.
 	Crashes bool `json:"crashes,omitempty"`
 }
 
-func (p taskPlan) outcome(string) (time.Duration, lease.EndKind) {
+func (p taskPlan) outcome(task string) (time.Duration, lease.EndKind) {
+	if p.LaterMs > 0 && stepOf(task) > 0 {
+		p.Ms = p.LaterMs
+	}
 	switch {
 	case p.Hangs || p.Crashes:
 		return hangTime, lease.Done
