--- a/internal/core/entry/entry_test.go
+++ b/internal/core/entry/entry_test.go
@@ -470,6 +470,7 @@
 		damage func(*fixture)
 	}{
 		{invariant.OneAttempt, func(f *fixture) { f.core.DamageSecondAttempt(1); f.advance(tick) }},
+		{invariant.NothingAfterEnd, func(f *fixture) { f.core.DamageQueueAfterEnd(1) }},
 		{invariant.AnsweredOnce, func(f *fixture) { f.core.DamageAnswerTwice(1) }},
 		{invariant.WholeAnswer, func(f *fixture) { f.core.DamagePartialAnswer(1) }},
 		{invariant.NotRunProven, func(f *fixture) { f.core.DamageNotRun(1) }},
--- a/internal/core/entry/export_test.go
+++ b/internal/core/entry/export_test.go
@@ -8,6 +8,13 @@
 // DamageSecondAttempt queues a dispatched task of the job again.
 func (c *Core) DamageSecondAttempt(id uint64) { c.queue.push(c.jobs[id], 0) }
 
+// DamageQueueAfterEnd queues a task of the job after its end was decided.
+func (c *Core) DamageQueueAfterEnd(id uint64) {
+	j := c.jobs[id]
+	c.failJob(j, verdict.Cancelled, "")
+	c.queue.push(j, 0)
+}
+
 // DamageAnswerTwice answers the job twice.
 func (c *Core) DamageAnswerTwice(id uint64) {
 	j := c.jobs[id]
--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -331,6 +331,7 @@
 	causeStops   = "the tasks of other entries extended the lease of a task whose stops were lost"
 	causeRestart = "a worker that restarted under its ID got leases on the clock of the instance before"
 	causeFrozen  = "an entry that goes on after SIGSTOP started a request whose caller had left"
+	causeStep    = "a job whose caller had cancelled it went on to its next step"
 )
 
 // soakRegressions are the cases that failed because of a fault of the programs. The first
@@ -350,6 +351,9 @@
 	{19, "", causeRestart},
 	{1000, "freeze-entry,reset-callers", causeFrozen},
 	{1004, "freeze-entry,reset-callers", causeFrozen},
+	{11, "reset-callers", causeStep},
+	{13, "reset-callers", causeStep},
+	{11, "reload-entry", causeStep},
 }
 
 // newSoak starts the processes and the stand-ins. They end with the test.
