--- a/internal/core/entry/lifecycle_test.go
+++ b/internal/core/entry/lifecycle_test.go
@@ -42,38 +42,39 @@
 	return dispatches, answers
 }
 
-// endings are the ways in which a job can end while its first step runs at the worker. The
-// first result of each is sent before its end is decided.
+// endings are the ways in which a job can end while the two tasks of its first step are
+// outstanding. Each decides the fate of the first task as well.
 var endings = []struct {
 	name    string
 	jobType string
-	end     func(f *fixture, w *leasedWorker, job uint64, ran msg.Dispatch)
+	end     func(f *fixture, w *leasedWorker, job uint64, first msg.Dispatch)
 	reason  verdict.Reason
 }{
-	{"cancelled", "patient", func(f *fixture, _ *leasedWorker, job uint64, _ msg.Dispatch) {
+	{"cancelled", "patient", func(f *fixture, w *leasedWorker, job uint64, first msg.Dispatch) {
+		w.end(first, msg.ResultOK)
 		f.step(entry.Cancel{Job: job})
 	}, verdict.Cancelled},
-	{"a task failed", "once", func(_ *fixture, w *leasedWorker, _ uint64, ran msg.Dispatch) {
-		w.end(ran, msg.ResultEndpointError)
+	{"the deadline passed", "once", func(f *fixture, w *leasedWorker, _ uint64, first msg.Dispatch) {
+		w.end(first, msg.ResultOK)
+		f.advance(deadlineOfSteps + tick)
+	}, verdict.DeadlineExceeded},
+	{"a task failed", "once", func(_ *fixture, w *leasedWorker, _ uint64, first msg.Dispatch) {
+		w.end(first, msg.ResultEndpointError)
 	}, verdict.EndpointError},
-	{"a task got no whole answer", "once", func(_ *fixture, w *leasedWorker, _ uint64, ran msg.Dispatch) {
-		w.end(ran, msg.ResultEndpointFailed)
+	{"a task got no whole answer", "once", func(_ *fixture, w *leasedWorker, _ uint64, first msg.Dispatch) {
+		w.end(first, msg.ResultEndpointFailed)
 	}, verdict.EndpointFailed},
-	{"a task was lost", "once", func(_ *fixture, w *leasedWorker, _ uint64, ran msg.Dispatch) {
-		w.send(msg.AttemptStates{Attempts: []msg.AttemptStateItem{{Attempt: ran.Attempt, State: msg.Forgotten}}})
+	{"a task was lost", "once", func(_ *fixture, w *leasedWorker, _ uint64, first msg.Dispatch) {
+		w.send(msg.AttemptStates{Attempts: []msg.AttemptStateItem{{Attempt: first.Attempt, State: msg.Forgotten}}})
 	}, verdict.WorkerLost},
-	{"a task was aborted", "once", func(_ *fixture, w *leasedWorker, _ uint64, ran msg.Dispatch) {
-		w.end(ran, msg.ResultAborted)
+	{"a task was aborted", "once", func(_ *fixture, w *leasedWorker, _ uint64, first msg.Dispatch) {
+		w.end(first, msg.ResultAborted)
 	}, verdict.WorkerLost},
-	{"the deadline passed", "once", func(f *fixture, _ *leasedWorker, _ uint64, _ msg.Dispatch) {
-		f.advance(deadlineOfSteps + tick)
-	}, verdict.DeadlineExceeded},
 }
 
 const deadlineOfSteps = time.Second
 
-// lateVerdicts are what the agent may say of the tasks that are outstanding when their job's
-// end is decided.
+// lateVerdicts are what may become known of the second task after its job's end is decided.
 var lateVerdicts = []struct {
 	name string
 	send func(w *leasedWorker, d msg.Dispatch)
@@ -109,15 +110,10 @@
 				f := leasedFixture(t)
 				w := f.linkLeased("w1", 4)
 				job := f.submitSteps(ending.jobType, deadlineOfSteps)
-				first := f.dispatched()[w.link]
-				f.c.Assert(first, qt.HasLen, 2)
-				// The first task completes, so that the other one is the last of its step.
-				ran, last := first[0], first[1]
-				if ending.jobType == "patient" || ending.reason == verdict.DeadlineExceeded {
-					w.end(ran, msg.ResultOK)
-				}
-				ending.end(f, w, job, ran)
-				late.send(w, last)
+				sent := f.dispatched()[w.link]
+				f.c.Assert(sent, qt.HasLen, 2)
+				ending.end(f, w, job, sent[0])
+				late.send(w, sent[1])
 				f.advance(3 * time.Second)
 				dispatches, answers := f.dispatchesAndAnswers()
 				f.c.Check(dispatches, qt.Equals, 0, qt.Commentf("tasks are dispatched after the end of their job"))
--- a/internal/entryd/frontdoor.go
+++ b/internal/entryd/frontdoor.go
@@ -110,10 +110,10 @@
 	}
 }
 
-// cancelledBeforeSubmit is the answer to a job whose caller left before the core
-// received it.
+// cancelledBeforeSubmit is the answer to a job whose caller left or cancelled it before the
+// core received it.
 func cancelledBeforeSubmit() entry.Answer {
-	return entry.Answer{Outcome: entry.Failed, Verdict: verdict.NotRun, Reason: verdict.Cancelled, Message: "the caller left"}
+	return entry.Answer{Outcome: entry.Failed, Verdict: verdict.NotRun, Reason: verdict.Cancelled, Message: "the caller left or cancelled the job before it was taken"}
 }
 
 // logJobNotDone logs why a job was refused or failed.
