--- a/internal/entryd/frontdoor.go
+++ b/internal/entryd/frontdoor.go
@@ -56,7 +56,8 @@
 
 // Submit runs a job and returns its answer. If a job of the same name is in progress,
 // Submit waits for its end and returns its answer if that is complete or the job was
-// cancelled by its name; otherwise it runs the new job. When ctx ends, what has not ended is stopped.
+// cancelled by its name; otherwise it runs the new job. When ctx ends, what has not ended
+// is stopped.
 func (f *FrontDoor) Submit(ctx context.Context, name string, job entry.Job) entry.Answer {
 	arrived := time.Now()
 	answer := f.daemon.jobs.submitNamed(ctx, jobName{job.Account, name}, job)
