Store what a worker has changed since its first announcement

The record of a worker was replaced only if its instance, address or leaving notice changed. It now follows everything that an announcement tells except its number, so that a new field counts by default. What another process has stored of the same instance since then is replaced by an announcement with at least its number, so that an agent that was paused does not bring back older labels. What this process has read or written itself is replaced whatever the start time is: a worker whose time of day was set back kept its former record.

--- a/internal/agentd/worker_record.go
+++ b/internal/agentd/worker_record.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"reflect"
 	"sync"
 	"time"
 
@@ -44,9 +45,9 @@
 	mu sync.Mutex
 	// wanted is the announcement to be stored; its zero value stands for none.
 	wanted WorkerAnnouncement
-	// versionAtStart is the version of the record that read found. The worker has since
-	// answered as the wanted instance, so no start time in that record makes it newer.
-	versionAtStart uint64
+	// version is the version of the record that this process has read at its start or written
+	// last. What the worker has said since replaces it, whatever its start time and number are.
+	version uint64
 	changed        chan struct{}
 }
 
@@ -59,7 +60,7 @@
 func (k *recordKeeper) announced(a WorkerAnnouncement) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if a.sameRecord(k.wanted) || a.Instance == k.wanted.Instance && !a.replaces(k.wanted) {
+	if a.sameRecord(k.wanted) || !a.replaces(k.wanted, true) {
 		return
 	}
 	k.wanted = a
@@ -69,18 +70,25 @@
 	}
 }
 
-// sameRecord reports whether a record of one announcement says as much as one of the other.
+// sameRecord reports whether a record of one announcement says as much as one of the other:
+// they differ in nothing but their numbers.
 func (a WorkerAnnouncement) sameRecord(o WorkerAnnouncement) bool {
-	return a.Instance == o.Instance && a.Address == o.Address && a.Leaving == o.Leaving
+	a.Number, o.Number = 0, 0
+	return reflect.DeepEqual(a, o)
 }
 
-// replaces reports whether the announcement is newer than another one. A worker that is
-// leaving stays so until its next instance.
-func (a WorkerAnnouncement) replaces(o WorkerAnnouncement) bool {
-	if a.Instance.StartedAtMs != o.Instance.StartedAtMs {
+// replaces reports whether the announcement replaces another one, which is older if known. A
+// worker that is leaving stays so until its next instance.
+func (a WorkerAnnouncement) replaces(o WorkerAnnouncement, older bool) bool {
+	switch {
+	case a.Instance == o.Instance && o.Leaving:
+		return a.Leaving
+	case older:
+		return true
+	case a.Instance.StartedAtMs != o.Instance.StartedAtMs:
 		return a.Instance.StartedAtMs > o.Instance.StartedAtMs
 	}
-	return a.Leaving || !o.Leaving
+	return a.Leaving || a.Number >= o.Number
 }
 
 // left records that the worker's present instance is leaving.
@@ -104,7 +112,7 @@
 		return a, false
 	}
 	k.mu.Lock()
-	k.versionAtStart = version
+	k.version = version
 	k.mu.Unlock()
 	return a, a.Address != "" && !a.Leaving
 }
@@ -163,14 +171,13 @@
 // process of the worker may have written it since this one started.
 func (k *recordKeeper) write(ctx context.Context) error {
 	k.mu.Lock()
-	wanted, versionAtStart := k.wanted, k.versionAtStart
+	wanted, known := k.wanted, k.version
 	k.mu.Unlock()
 	stored, version, err := k.get(ctx)
 	if err != nil && !store.IsNotFound(err) {
 		return err
 	}
-	outdated := stored.Instance != wanted.Instance && version == versionAtStart
-	if wanted.sameRecord(stored) || !outdated && !wanted.replaces(stored) {
+	if wanted.sameRecord(stored) || !wanted.replaces(stored, version == known) {
 		return nil
 	}
 	value, err := json.Marshal(wanted)
@@ -179,7 +186,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	_, err = k.store.CompareAndSwap(ctx, k.key, version, value, 0)
+	version, err = k.store.CompareAndSwap(ctx, k.key, version, value, 0)
+	if err == nil {
+		k.mu.Lock()
+		k.version = version
+		k.mu.Unlock()
+	}
 	return err
 }
 
--- a/internal/agentd/worker_record_test.go
+++ b/internal/agentd/worker_record_test.go
@@ -84,6 +84,35 @@
 	}
 }
 
+// Guards against a successor that uses what a worker has changed since its first announcement:
+// its kind or its capacity, as after a restart under its ID.
+func TestRecordFollowsAnnouncements(t *testing.T) {
+	for name, change := range map[string]func(*WorkerAnnouncement){
+		"address":  func(a *WorkerAnnouncement) { a.Address = "10.0.0.9:81" },
+		"slots":    func(a *WorkerAnnouncement) { a.Slots = 2 },
+		"size":     func(a *WorkerAnnouncement) { a.Size.Cores = 4 },
+		"labels":   func(a *WorkerAnnouncement) { a.Labels = []string{"b"} },
+		"instance": func(a *WorkerAnnouncement) { a.Instance.StartedAtMs = 3 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			paused, k := keepers()
+			paused.announced(announcementOf(5, 1, false))
+			k.announced(announcementOf(5, 1, false))
+			c.Assert(k.write(t.Context()), qt.IsNil)
+			changed := announcementOf(5, 2, false)
+			change(&changed)
+			k.announced(changed)
+			c.Assert(k.write(t.Context()), qt.IsNil)
+			if name != "instance" {
+				c.Assert(paused.write(t.Context()), qt.IsNil)
+			}
+			a, _ := k.read(t.Context())
+			c.Check(a, qt.DeepEquals, changed)
+		})
+	}
+}
+
 // Guards against a record that cannot be read and ends the process or is used.
 func TestMalformedRecord(t *testing.T) {
 	c := qt.New(t)
