Give a restarted worker no tasks before it announces itself

An answer tells of the restart by its start time, up to 1.5 s before the worker announces itself. The agent passed the labels, slots, capacity and leaving notice of the earlier life on as those of the new instance, to entries and to the store, and dropped an announcement that it was checking.

The driver now holds one value for each instance, and a restart makes a fresh one, so that a new field is dropped by default. The agent core does the same (EndpointRestarted): it keeps the service and the lease, which are the agent's, tells entries that the worker does not accept tasks and has neither labels nor room, and goes on resolving attempts. The announcement of that very instance, if one is being checked, is used at once. A deregistration before the first announcement of an instance is that of an earlier one. Entries keep the tasks of a confined job type waiting for a worker whose properties are unknown; otherwise the type would spread to all workers while those of its cell restart.

The cost: a restarted worker is idle until its first announcement.

TestRestartedWorkerWaitsForItsAnnouncement, TestAnnouncementUnderCheckIsUsedAfterRestart and TestConfinedJobsWaitForRestartedWorkers fail without the change.

--- a/internal/agentd/instance.go
+++ b/internal/agentd/instance.go
@@ -29,19 +29,22 @@
 	numberTrust = leasedAnnounceTimeout / 2
 )
 
-// instanceCheck is the state of a leasedDriver that decides which announcements are used.
-type instanceCheck struct {
-	// present is the newest announcement in use; it has no ID before the first.
-	present WorkerAnnouncement
-	// presentAt is when that announcement arrived.
-	presentAt time.Time
-	// adoptions counts the instances used so far, and orders them for the agent core. Start
-	// times do not: the worker's time of day may have been set back.
-	adoptions uint64
-	// answered is set once the worker has answered as the present instance.
+// instanceState is what is believed of one instance of the worker. Each instance begins with a
+// new value, so that nothing of an earlier one is applied to it: a worker that restarts under
+// its ID may be of another kind.
+type instanceState struct {
+	instance lease.Instance
+	// address is where the instance takes calls.
+	address string
+	// announced is the newest announcement of the instance in use, which arrived at
+	// announcedAt. It is nil until the instance has announced itself; the worker gets no
+	// tasks before that.
+	announced   *WorkerAnnouncement
+	announcedAt time.Time
+	// answered is set once the worker has answered as the instance.
 	answered bool
-	// leftAt is when the present instance deregistered without an announcement that it is
-	// leaving, or zero.
+	// leftAt is when the instance deregistered without an announcement that it is leaving,
+	// or zero.
 	leftAt time.Time
 	// candidate is the newest announcement of another instance since the check began, at
 	// candidateSince; nil without a check.
@@ -49,54 +52,78 @@
 	candidateSince time.Time
 }
 
+// instances follows the instances of the worker and decides which announcements are used.
+type instances struct {
+	present instanceState
+	// adoptions counts the instances used so far, and orders them for the agent core. Start
+	// times do not: the worker's time of day may have been set back.
+	adoptions uint64
+}
+
+// begin makes another instance the present one.
+func (s *instances) begin(next instanceState) {
+	s.present = next
+	s.adoptions++
+}
+
 // applyAnnouncement uses an announcement of the present instance, or checks whether
 // another one has taken its place.
 func (d *leasedDriver) applyAnnouncement(now time.Time, a WorkerAnnouncement) {
-	samePlace := a.Instance == d.present.Instance && a.Address == d.present.Address
+	p := &d.present
+	samePlace := a.Instance == p.instance && a.Address == p.address
 	switch {
-	case samePlace && d.late(now, a):
+	case samePlace && p.announced != nil && p.late(now, a):
 	case samePlace && d.goesOn(now, a):
 		d.adopt(now, a)
 	case samePlace:
-		if a.Leaving {
-			d.leftAt = time.Time{}
-		}
-		a.Leaving = a.Leaving || d.present.Leaving
-		d.present, d.presentAt = a, now
-		d.core.Step(now, lease.Announced{Instance: a.Instance, Leaving: a.Leaving})
-		d.pass(now)
-	case !d.answered:
+		d.use(now, a)
+	case !p.answered:
 		d.adopt(now, a)
-	case a.Instance == d.present.Instance:
-		d.loop.announcementRefused(errMalformedAnnouncement.New("worker %s answers at %s, not at %s", a.Instance.ID, d.present.Address, a.Address))
-	case d.candidate != nil:
-		d.candidate = &a
+	case a.Instance == p.instance:
+		d.loop.announcementRefused(errMalformedAnnouncement.New("worker %s answers at %s, not at %s", a.Instance.ID, p.address, a.Address))
+	case p.candidate != nil:
+		p.candidate = &a
 	default:
-		d.candidate, d.candidateSince = &a, now
+		p.candidate, p.candidateSince = &a, now
 		d.checkPresent()
 	}
 }
 
+// use applies an announcement of the present instance.
+func (d *leasedDriver) use(now time.Time, a WorkerAnnouncement) {
+	p := &d.present
+	if a.Leaving {
+		p.leftAt = time.Time{}
+	}
+	a.Leaving = a.Leaving || p.announced != nil && p.announced.Leaving
+	p.announced, p.announcedAt = &a, now
+	d.core.Step(now, lease.Announced{Instance: a.Instance, Leaving: a.Leaving})
+	d.pass(now)
+}
+
 // late reports whether a newer announcement of the instance is in use. The notice that the
 // worker is leaving holds in any order.
-func (d *leasedDriver) late(now time.Time, a WorkerAnnouncement) bool {
-	return a.Number <= d.present.Number && (!a.Leaving || d.present.Leaving) && now.Sub(d.presentAt) < numberTrust
+func (p *instanceState) late(now time.Time, a WorkerAnnouncement) bool {
+	return a.Number <= p.announced.Number && (!a.Leaving || p.announced.Leaving) && now.Sub(p.announcedAt) < numberTrust
 }
 
 // goesOn reports whether a worker that seemed to have deregistered announces itself on: the
 // call came from another writer, or late from an earlier life with the same ID.
 func (d *leasedDriver) goesOn(now time.Time, a WorkerAnnouncement) bool {
-	return !d.leftAt.IsZero() && now.Sub(d.leftAt) >= numberTrust && !a.Leaving && d.loop.core.Running() == 0
+	leftAt := d.present.leftAt
+	return !leftAt.IsZero() && now.Sub(leftAt) >= numberTrust && !a.Leaving && d.loop.core.Running() == 0
 }
 
 // left handles a notice that the worker is leaving, and reports whether it is that of the
-// present instance.
+// present instance. The notice names the ID alone: before the present instance has announced
+// itself, it comes from an earlier one.
 func (d *leasedDriver) left(now time.Time, instance lease.Instance) bool {
-	if !d.core.WorkerLeaving(now, instance) {
+	p := &d.present
+	if p.announced == nil || !d.core.WorkerLeaving(now, instance) {
 		return false
 	}
-	if !d.present.Leaving {
-		d.present.Leaving, d.leftAt = true, now
+	if !p.announced.Leaving {
+		p.announced.Leaving, p.leftAt = true, now
 	}
 	return true
 }
@@ -106,23 +133,22 @@
 func (d *leasedDriver) adopt(now time.Time, a WorkerAnnouncement) {
 	// A worker that restarts under its ID has answered as that ID; the lease core finds out
 	// what it runs.
-	answered := d.answered && a.Instance.ID == d.present.Instance.ID
-	d.present, d.presentAt, d.answered, d.candidate, d.leftAt = a, now, answered, nil, time.Time{}
-	d.adoptions++
+	answered := d.present.answered && a.Instance.ID == d.present.instance.ID
+	d.begin(instanceState{instance: a.Instance, address: a.Address, announced: &a, announcedAt: now, answered: answered})
 	d.worker.SetAddress(a.Address)
 	d.core.Step(now, lease.Announced{Instance: a.Instance, Replaces: true, Leaving: a.Leaving})
 	d.reportLease(now)
 	d.pass(now)
 }
 
-// pass gives the present announcement to those that follow it.
+// pass gives the newest announcement to those that follow it.
 func (d *leasedDriver) pass(now time.Time) {
-	a := d.present
+	a := *d.present.announced
 	if d.tracker != nil {
 		d.tracker.recordAnnouncement(Announcement{Service: a.Service, Join: d.adoptions, Leaving: a.Leaving})
 	}
-	if d.answered && d.record != nil {
-		d.record.announced(a)
+	if d.present.answered {
+		d.storeRecord()
 	}
 	// A leased worker is used by its room. More slots than a link can tell would make every
 	// entry refuse the agent.
@@ -133,20 +159,25 @@
 	})
 }
 
+// storeRecord stores the newest announcement of the present instance, if there is one.
+func (d *leasedDriver) storeRecord() {
+	if d.record != nil && d.present.announced != nil {
+		d.record.announced(*d.present.announced)
+	}
+}
+
 // instanceAnswered records that the worker has answered as the present instance.
 func (d *leasedDriver) instanceAnswered() {
-	if d.answered {
+	if d.present.answered {
 		return
 	}
-	d.answered = true
-	if d.record != nil {
-		d.record.announced(d.present)
-	}
+	d.present.answered = true
+	d.storeRecord()
 }
 
 // checkPresent asks whether the worker still is the present instance.
 func (d *leasedDriver) checkPresent() {
-	ask := lease.Hold{Instance: d.present.Instance, Timeout: checkTimeout}
+	ask := lease.Hold{Instance: d.present.instance, Timeout: checkTimeout}
 	fence := d.core.Fence()
 	go func() {
 		answer := d.worker.Hold(context.Background(), ask)
@@ -161,46 +192,49 @@
 
 // presentChecked applies the answer to a check.
 func (d *leasedDriver) presentChecked(now time.Time, asked lease.Instance, answer lease.Answer) {
-	candidate, status := d.candidate, answer.Status
+	candidate, status := d.present.candidate, answer.Status
 	answering := asked
 	if answer.StartedAtMs != 0 {
 		// Calls name the ID alone, which a restarted worker may keep.
 		answering.StartedAtMs = answer.StartedAtMs
 	}
 	switch {
-	case candidate == nil || asked != d.present.Instance:
+	case candidate == nil || asked != d.present.instance:
 	case status == lease.OK && candidate.Instance == answering:
 		d.adopt(now, *candidate)
 	case status == lease.OK || status == lease.Fenced:
-		d.candidate = nil
+		d.present.candidate = nil
 		d.loop.announcementRefused(errMalformedAnnouncement.New("worker %s is announced, but %s answers", candidate.Instance.ID, asked.ID))
 	case status == lease.WrongInstance:
 		d.adopt(now, *candidate)
 	case !d.core.Ready() && d.loop.core.Running() == 0:
 		// Nothing is lost if the worker is only silent.
 		d.adopt(now, *candidate)
-	case now.Sub(d.candidateSince) >= checkLimit:
+	case now.Sub(d.present.candidateSince) >= checkLimit:
 		// The next announcement begins a new check.
-		d.candidate = nil
+		d.present.candidate = nil
 	default:
 		time.AfterFunc(checkPause, func() { d.loop.submit(func(time.Time) { d.repeatCheck() }) })
 	}
 }
 
-// restarted follows a restart of the worker under its ID that an answer has told of. Its
-// announcements are numbered anew.
+// restarted follows a restart of the worker under its ID that an answer has told of. The new
+// instance takes calls at the same address. It gets tasks once it has announced itself, which
+// may be the announcement that is being checked.
 func (d *leasedDriver) restarted(now time.Time, instance lease.Instance) {
-	if d.present.Instance.ID != instance.ID || d.present.Instance == instance {
+	p := d.present
+	if p.instance.ID != instance.ID || p.instance == instance {
 		return
 	}
-	d.present.Instance, d.present.Number, d.present.Leaving, d.leftAt = instance, 0, false, time.Time{}
-	d.candidate = nil
-	d.adoptions++
-	d.pass(now)
+	d.begin(instanceState{instance: instance, address: p.address, answered: true})
+	d.loop.core.Step(now, agent.EndpointRestarted{Join: d.adoptions})
+	if a := p.candidate; a != nil && a.Instance == instance && a.Address == p.address {
+		d.use(now, *a)
+	}
 }
 
 func (d *leasedDriver) repeatCheck() {
-	if d.candidate != nil {
+	if d.present.candidate != nil {
 		d.checkPresent()
 	}
 }
--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -71,7 +71,7 @@
 	record  *recordKeeper
 	// reported is the lease state last given to the agent core.
 	reported agent.LeaseChanged
-	instanceCheck
+	instances
 }
 
 // startAttempt starts an attempt under the lease.
@@ -98,7 +98,8 @@
 		case lease.Restarted:
 			d.restarted(now, out.Instance)
 			logevent.WorkerRestarted.Log(d.loop.log, zap.String("id", out.Instance.ID),
-				zap.Int64("started_at_ms", out.Instance.StartedAtMs), zap.Int("attempts", out.Attempts))
+				zap.Int64("started_at_ms", out.Instance.StartedAtMs), zap.Int("attempts", out.Attempts),
+				zap.Bool("announced", d.present.announced != nil))
 		case lease.Limited:
 			logevent.LeaseLimited.Log(d.loop.log, zap.Int("unconfirmed_stops", out.UnconfirmedStops),
 				zap.Int64("owner_silence_ms", out.OwnerSilence.Milliseconds()))
--- /dev/null
+++ b/internal/agentd/restarted_worker_test.go
@@ -0,0 +1,81 @@
+package agentd
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/poplarlever/poplarlever/internal/core/agent"
+	"github.com/poplarlever/poplarlever/internal/core/lease"
+	"github.com/poplarlever/poplarlever/internal/core/msg"
+	fakestore "github.com/poplarlever/poplarlever/internal/fake/store"
+)
+
+// awaitTakeover waits until the agent has taken over the worker's present instance.
+func (f *oddFixture) awaitTakeover() {
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		taken := false
+		f.onLoop(func(time.Time) {
+			d := f.daemon.loop.leased
+			taken = d.present.instance == f.worker.worker.Instance && d.core.Ready()
+		})
+		if taken {
+			return
+		}
+		f.c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the restart was not found"))
+	}
+}
+
+// Guards against a worker that gets tasks by what it was in an earlier life: an answer tells of
+// the restart under its ID before the worker has announced itself, perhaps as another kind. The
+// earlier life's properties must not reach entries, before or after a restart of the agent, while
+// its attempts are resolved.
+func TestRestartedWorkerWaitsForItsAnnouncement(t *testing.T) {
+	s := fakestore.New(fakestore.Rates{Reads: 1000, Writes: 1000})
+	f := newOddFixture(t, WithWorkerRecord(s, "s"))
+	f.c.Assert(f.waitUntilInUse(6*time.Second), qt.IsTrue)
+	f.startTask("t")
+	f.worker.restart(lease.Instance{ID: "i", StartedAtMs: 7})
+	f.awaitTakeover()
+	h := f.hello()
+	f.c.Check(h.Leaving, qt.IsTrue, qt.Commentf("the worker is in use: %+v", h))
+	f.c.Check(h.Size, qt.Equals, msg.Size{})
+	f.c.Check(h.Slots+len(h.Labels), qt.Equals, 0)
+	f.c.Check(h.Settled, qt.IsTrue)
+	f.daemon.Left(lease.Instance{ID: "i"})
+	for end := time.Now().Add(5 * time.Second); f.running() > 0; time.Sleep(time.Millisecond) {
+		f.c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the attempt is not resolved"))
+	}
+	a := announcementOf(7, 1, false)
+	a.Labels, a.Size = []string{"b"}, msg.Size{Cores: 4}
+	f.daemon.Announced(a)
+	h = f.hello()
+	f.c.Check(h.Leaving, qt.IsFalse)
+	f.c.Check(h.Labels, qt.DeepEquals, a.Labels)
+	f.c.Check(h.Size, qt.Equals, a.Size)
+	k := newRecordKeeper(s, "w", "s", zap.NewNop())
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if recorded, _ := k.read(t.Context()); recorded.Instance == a.Instance {
+			f.c.Check(recorded, qt.DeepEquals, a)
+			return
+		}
+		f.c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("the announcement is not recorded"))
+	}
+}
+
+// Guards against an announcement of the new instance that is dropped because an answer told of
+// the restart first: the worker would not be used until the next one.
+func TestAnnouncementUnderCheckIsUsedAfterRestart(t *testing.T) {
+	l := newLoop(agent.New(agent.Config{Worker: "w", Epoch: time.Unix(0, 0)}))
+	d := &leasedDriver{loop: l, core: lease.New(lease.Config{}), worker: &stubWorker{}}
+	now := time.Unix(1000, 0)
+	d.applyAnnouncement(now, announcementOf(5, 1, false))
+	d.instanceAnswered()
+	next := announcementOf(7, 1, false)
+	next.Labels = []string{"b"}
+	d.applyAnnouncement(now, next)
+	d.restarted(now, next.Instance)
+	qt.Check(t, l.core.Hello().Labels, qt.DeepEquals, next.Labels)
+}
--- a/internal/agentd/worker_record.go
+++ b/internal/agentd/worker_record.go
@@ -48,7 +48,7 @@
 	// version is the version of the record that this process has read at its start or written
 	// last. What the worker has said since replaces it, whatever its start time and number are.
 	version uint64
-	changed        chan struct{}
+	changed chan struct{}
 }
 
 func newRecordKeeper(s store.Store, worker, service string, log *zap.Logger) *recordKeeper {
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -167,6 +167,8 @@
 		c.receive(now, in)
 	case EndpointAnnounced:
 		c.endpointAnnounced(now, in)
+	case EndpointRestarted:
+		c.endpointRestarted(now, in)
 	case EndpointLeaving:
 		c.endpointLeaving(now, in.Join)
 	case EndpointLost:
--- a/internal/core/agent/endpoint.go
+++ b/internal/core/agent/endpoint.go
@@ -121,6 +121,21 @@
 	c.grantNewSlots(now)
 }
 
+// endpointRestarted drops what was announced by an earlier instance of a leased worker, and
+// closes the room until the present one announces itself. The service and the lease are those
+// of the agent, which goes on resolving the attempts; entries learn so from Hello.
+func (c *Core) endpointRestarted(now time.Time, in EndpointRestarted) {
+	e := &c.endpoint
+	if in.Join <= e.join {
+		return
+	}
+	before := e.advertised()
+	*e = endpointState{join: in.Join, service: e.service, leased: e.leased, ready: e.ready, settled: e.settled}
+	if before != e.advertised() {
+		c.sendHellos(now)
+	}
+}
+
 func (c *Core) endpointLeaving(now time.Time, join uint64) {
 	e := &c.endpoint
 	if join != 0 && join < e.join || join == 0 && !e.present {
--- a/internal/core/agent/io.go
+++ b/internal/core/agent/io.go
@@ -54,6 +54,10 @@
 	Running []string
 }
 
+// EndpointRestarted says that a leased worker runs as another instance, which has not
+// announced itself. Join is larger than those of earlier instances.
+type EndpointRestarted struct{ Join uint64 }
+
 // EndpointLeaving says that the endpoint accepts no new tasks. Join is the one
 // that ends; zero means the present one.
 type EndpointLeaving struct{ Join uint64 }
@@ -101,6 +105,7 @@
 func (DrainLink) input()         {}
 func (Received) input()          {}
 func (EndpointAnnounced) input() {}
+func (EndpointRestarted) input() {}
 func (EndpointLeaving) input()   {}
 func (EndpointLost) input()      {}
 func (LeaseChanged) input()      {}
--- a/internal/core/entry/crashes.go
+++ b/internal/core/entry/crashes.go
@@ -124,7 +124,7 @@
 
 // crashRulesAllow reports whether a leased worker may get the task after earlier crashes. A
 // suspect runs where no other one does. Tasks of a confined job type run in the cell, unless
-// none of its workers can ever run them.
+// none of its workers can ever run them. One that has restarted and not announced itself might.
 func (c *Core) crashRulesAllow(w *worker, j *job, task int, step Step) bool {
 	if w.suspects > 0 && c.suspect(j, task) {
 		return false
@@ -134,7 +134,7 @@
 	}
 	size := j.spec.Tasks[task].DeclaredSize
 	return !slices.ContainsFunc(c.workers.list, func(o *worker) bool {
-		return o.inCell && o.hello.Service == j.spec.Service && size.FitsIn(o.hello.Size) && o.hasRequiredLabel(step)
+		return o.inCell && o.hello.Service == j.spec.Service && (!o.described() || size.FitsIn(o.hello.Size) && o.hasRequiredLabel(step))
 	})
 }
 
--- a/internal/core/entry/crashes_test.go
+++ b/internal/core/entry/crashes_test.go
@@ -194,6 +194,32 @@
 	f.c.Assert(len(f.dispatched()) > 3, qt.IsTrue)
 }
 
+// Guards against a job type with deadly tasks that spreads to all workers whenever those that
+// it may use have crashed, restarted and not yet announced themselves.
+func TestConfinedJobsWaitForRestartedWorkers(t *testing.T) {
+	f := leasedFixture(t)
+	var workers []*leasedWorker
+	for i := range 9 {
+		workers = append(workers, f.linkLeased(fmt.Sprint("w", i), 32))
+	}
+	f.confine(workers)
+	f.out = nil
+	f.submitNamed("p", "patient", 8, 30)
+	cell := f.dispatched()
+	f.c.Assert(cell, qt.HasLen, 3)
+	for _, w := range workers {
+		if cell[w.link] != nil {
+			w.number++
+			w.send(msg.Hello{
+				Worker: w.name, Incarnation: w.inc, Service: "s", Revision: 8, ReleaseAfter: releaseAfter,
+				Settled: true, Report: msg.Slots{Number: w.number}, Leaving: true,
+			})
+		}
+	}
+	f.advance(100 * time.Millisecond)
+	f.c.Check(f.dispatched(), qt.HasLen, 0)
+}
+
 // Guards against jobs that are refused for want of room while those of a confined job type
 // wait for theirs.
 func TestConfinedBacklogRefusesNoOtherJobs(t *testing.T) {
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -90,6 +90,9 @@
 
 func (w *worker) linked() bool { return w.link != 0 }
 
+// described reports whether the worker's agent knows what its present instance is.
+func (w *worker) described() bool { return w.hello.Slots > 0 || w.hello.Size != msg.Size{} }
+
 func (w *worker) usable() bool {
 	return w.linked() && w.state == workerUp && (w.hello.Leased() || w.free+w.spare > 0)
 }
