Bind the lease core's beliefs about an instance in one value

Now both ways to another instance begin with newInstanceState. The end of leases that were promised, attempts, calls and the token stay with the core: a restarted worker may carry out what was sent to its earlier instance. The step of the fencing token begins anew, as a restarted worker has seen no token.

go test ./internal/core/lease ./internal/core/coretest: passes.

--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -108,11 +108,30 @@
 
 // Core is the state of one worker's lease.
 type Core struct {
-	cfg      Config
-	now      time.Time
+	cfg   Config
+	now   time.Time
+	fence uint64
+	// promisedEnd is the furthest end of the lease that was ever sent; lapsedBy is when every
+	// lease that was ever sent has lapsed. A restarted worker may carry out what was sent to its
+	// earlier instance.
+	promisedEnd, lapsedBy time.Time
+	// answers follows the answer times of starts and stops, and the loss of all answers.
+	answers  roundtrip.Estimator
+	lastCall uint64
+	byName   map[string]*execution
+	owners   map[msg.Incarnation]*owner
+	// limited is set while the lease cannot be extended by minStartLease.
+	limited bool
+	byCall  map[uint64]call
+	out     []Output
+	instanceState
+}
+
+// instanceState is what is believed of one instance of the worker. Each instance begins with a
+// new value, so that nothing of an earlier one is applied to it.
+type instanceState struct {
 	phase    phase
 	instance Instance
-	fence    uint64
 	// fenceStep is by how much the next token exceeds the one that was too low. It doubles
 	// until a token is accepted: the one that the worker has seen may be far above its clock.
 	fenceStep uint64
@@ -121,9 +140,6 @@
 	clock      time.Duration
 	clockAt    time.Time
 	stoodStill time.Duration
-	// promisedEnd is the furthest end of the lease that was ever sent; lapsedBy is when every
-	// lease that was ever sent has lapsed.
-	promisedEnd, lapsedBy time.Time
 	// silent is set while the worker does not answer holds. Its lease is then not
 	// renewed.
 	silent bool
@@ -131,8 +147,6 @@
 	// first of them had timed out.
 	unanswered      int
 	unansweredSince time.Time
-	// answers follows the answer times of starts and stops, and the loss of all answers.
-	answers roundtrip.Estimator
 	// leaving is set when the worker has deregistered, announcedLeaving when it has
 	// announced that it is going to end.
 	leaving, announcedLeaving bool
@@ -141,7 +155,6 @@
 	// seen is the number of the newest end that was applied, acked that of the
 	// newest one that the worker knows to be applied.
 	seen, acked uint64
-	lastCall    uint64
 	// lastCallBefore is the last call to earlier instances: its answer may be theirs.
 	lastCallBefore uint64
 	// holdCall is the hold that waits for its answer, or zero. queryCall is a second
@@ -149,13 +162,12 @@
 	holdCall, queryCall uint64
 	holdSeen            uint64
 	nextHoldAt          time.Time
-	byName              map[string]*execution
-	owners              map[msg.Incarnation]*owner
-	// limited is set while the lease cannot be extended by minStartLease.
-	limited bool
-	byCall  map[uint64]call
-	unowned map[unownedRun]unownedState
-	out     []Output
+	unowned             map[unownedRun]unownedState
+}
+
+// newInstanceState returns the state of an instance that is taken over after the given call.
+func newInstanceState(instance Instance, lastCall uint64) instanceState {
+	return instanceState{instance: instance, phase: readingClock, lastCallBefore: lastCall, unowned: make(map[unownedRun]unownedState)}
 }
 
 // owner is an entry that has attempts at the worker.
@@ -190,7 +202,7 @@
 	cfg.ProbeInterval = cmp.Or(cfg.ProbeInterval, DefaultProbeInterval)
 	return &Core{
 		cfg: cfg, answers: roundtrip.New(answerBounds), byName: make(map[string]*execution), byCall: make(map[uint64]call),
-		owners: make(map[msg.Incarnation]*owner), unowned: make(map[unownedRun]unownedState),
+		owners: make(map[msg.Incarnation]*owner),
 	}
 }
 
@@ -306,8 +318,8 @@
 	c.reportCrash()
 	c.abortAll()
 	fresh := New(c.cfg)
-	fresh.now, fresh.out, fresh.lastCall, fresh.phase, fresh.instance = c.now, c.out, c.lastCall, readingClock, in.Instance
-	fresh.lastCallBefore = c.lastCall
+	fresh.now, fresh.out, fresh.lastCall = c.now, c.out, c.lastCall
+	fresh.instanceState = newInstanceState(in.Instance, c.lastCall)
 	fresh.announcedLeaving = in.Leaving
 	*c = *fresh
 }
@@ -317,12 +329,7 @@
 // earlier one: what it runs decides about the attempts.
 func (c *Core) restarted(startedAtMs int64) {
 	c.reportCrash()
-	c.instance.StartedAtMs, c.phase = startedAtMs, readingClock
-	c.announcedLeaving, c.crashReported = false, false
-	c.clock, c.clockAt, c.stoodStill, c.lastCallBefore = 0, time.Time{}, 0, c.lastCall
-	c.seen, c.acked, c.holdCall, c.queryCall, c.nextHoldAt = 0, 0, 0, 0, time.Time{}
-	c.silent, c.unanswered, c.leaving = false, 0, false
-	c.unowned = make(map[unownedRun]unownedState)
+	c.instanceState = newInstanceState(Instance{ID: c.instance.ID, StartedAtMs: startedAtMs}, c.lastCall)
 	for _, e := range c.byName {
 		e.workerRestarted(c.lastCall)
 	}
