Start tasks only in a worker that has just answered as its instance

Callers may see a task start at a worker of another kind than it requires, or under a lease on the clock of an earlier life: a worker that restarts under its ID while it is idle answers no call for up to 2 s, and a start names only the ID. The same after a pause of the agent.

A start now waits for the answer to a hold, which tells when the worker started, unless one that was sent less than 150 ms before was answered and none has failed since. A busy worker answers holds every 40 ms, so its starts do not wait; the first start at an idle one takes one call to the same VM more. Starts that wait when the restart is found are refused, and entries choose again.

--- a/internal/core/lease/execution.go
+++ b/internal/core/lease/execution.go
@@ -74,6 +74,14 @@
 		c.emit(Ended{Attempt: in.Attempt, Kind: msg.ResultNotReached, Reason: reason})
 		return
 	}
+	if !c.confirmed() {
+		c.toStart = append(c.toStart, delayedStart{RunTask: in, at: c.now, after: c.lastCall})
+		return
+	}
+	c.start(in)
+}
+
+func (c *Core) start(in RunTask) {
 	e := &execution{id: in.Attempt, name: in.Task, run: in.Run, startedAt: c.now}
 	if in.Limit > 0 {
 		e.endBy = c.now.Add(in.Limit)
--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 )
 
@@ -26,7 +27,7 @@
 // and keeps a recent reading of an idle worker's clock, which also reveals a restart.
 func (c *Core) holdSteadyState() {
 	switch {
-	case len(c.byName) == 0 && len(c.unowned) == 0 && c.acked == c.seen && !c.silent && c.clockKnown():
+	case len(c.byName) == 0 && len(c.toStart) == 0 && len(c.unowned) == 0 && c.acked == c.seen && !c.silent && c.clockKnown():
 	case c.unanswered > 0, c.leaving, len(c.byName) == 0:
 		// The lease of a worker that does not answer is not extended: once it has lapsed,
 		// nothing runs there.
@@ -57,18 +58,19 @@
 	if c.phase != held || c.queryCall != 0 || c.holdCall == 0 || c.unanswered > 0 {
 		return
 	}
+	needed := slices.ContainsFunc(c.toStart, func(d delayedStart) bool { return c.holdCall <= d.after })
 	for _, e := range c.byName {
-		if e.needsHold() && c.holdCall <= e.conclusiveAfter {
-			c.queryCall = c.nextCall()
-			c.emit(Hold{Call: c.queryCall, Timeout: c.answers.Timeout(), Instance: c.instance, Fence: c.fence, Seen: c.seen})
-			return
-		}
+		needed = needed || e.needsHold() && c.holdCall <= e.conclusiveAfter
+	}
+	if needed {
+		c.queryCall, c.querySentAt = c.nextCall(), c.now
+		c.emit(Hold{Call: c.queryCall, Timeout: c.answers.Timeout(), Instance: c.instance, Fence: c.fence, Seen: c.seen})
 	}
 }
 
 func (c *Core) sendHold(h Hold) {
 	h.Call, h.Instance, h.Timeout = c.nextCall(), c.instance, h.Wait+c.answers.Timeout()
-	c.holdCall, c.holdSeen = h.Call, h.Seen
+	c.holdCall, c.holdSeen, c.holdSentAt = h.Call, h.Seen, c.now
 	c.emit(h)
 }
 
@@ -90,6 +92,7 @@
 		c.updateClock(in)
 		if in.Status == OK {
 			c.answers.Alive()
+			c.confirm(c.querySentAt)
 			c.applyLists(in)
 		}
 		return
@@ -129,6 +132,9 @@
 		c.answers.Alive()
 		c.unanswered, c.nextHoldAt = 0, time.Time{}
 		c.setSilent(false)
+		if in.Status == OK {
+			c.confirm(c.holdSentAt)
+		}
 	default:
 		c.answers.Unanswered()
 		if c.unanswered++; c.unanswered == 1 {
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -84,6 +84,10 @@
 	// minStartLease is the shortest lease with which a task is started. A shorter one means
 	// that a task whose end is not proven keeps the lease from being extended.
 	minStartLease = 100 * time.Millisecond
+	// confirmTerm is how long an answer shows which instance runs: a process takes longer to
+	// start again, unless its connections break meanwhile. confirmLimit is how long a start
+	// waits for such an answer.
+	confirmTerm, confirmLimit = 150 * time.Millisecond, 300 * time.Millisecond
 )
 
 // answerBounds limit the timeouts of calls, apart from the time that a hold waits at the
@@ -162,7 +166,12 @@
 	holdCall, queryCall uint64
 	holdSeen            uint64
 	nextHoldAt          time.Time
-	unowned             map[unownedRun]unownedState
+	// holdSentAt and querySentAt are when holdCall and queryCall were sent, and confirmedAt when
+	// the newest hold was sent that the instance has answered.
+	holdSentAt, querySentAt, confirmedAt time.Time
+	// toStart holds the starts that wait until the instance has answered a hold.
+	toStart []delayedStart
+	unowned map[unownedRun]unownedState
 }
 
 // newInstanceState returns the state of an instance that is taken over after the given call.
@@ -241,6 +250,7 @@
 	case RunTask:
 		c.runTask(in)
 	case StopTask:
+		c.withdraw(in.Attempt)
 		c.stop(c.find(in.Attempt))
 	case OwnerSeen:
 		c.ownerSeen(in)
@@ -250,6 +260,7 @@
 		c.answer(in)
 	}
 	c.updateLimited()
+	c.startConfirmed()
 	c.holdIfDue()
 }
 
@@ -271,6 +282,7 @@
 		}
 	}
 	c.updateLimited()
+	c.startConfirmed()
 	c.holdIfDue()
 }
 
@@ -316,6 +328,7 @@
 		return
 	}
 	c.reportCrash()
+	c.refuseDelayed(verdict.WrongIncarnation)
 	c.abortAll()
 	fresh := New(c.cfg)
 	fresh.now, fresh.out, fresh.lastCall = c.now, c.out, c.lastCall
@@ -329,6 +342,7 @@
 // earlier one: what it runs decides about the attempts.
 func (c *Core) restarted(startedAtMs int64) {
 	c.reportCrash()
+	c.refuseDelayed(verdict.WrongIncarnation)
 	c.instanceState = newInstanceState(Instance{ID: c.instance.ID, StartedAtMs: startedAtMs}, c.lastCall)
 	for _, e := range c.byName {
 		e.workerRestarted(c.lastCall)
@@ -384,6 +398,8 @@
 // much.
 func (c *Core) suspended(d time.Duration) {
 	c.stoodStill += d
+	// The worker was not started again meanwhile.
+	c.confirmedAt, c.holdSentAt, c.querySentAt = c.confirmedAt.Add(d), c.holdSentAt.Add(d), c.querySentAt.Add(d)
 	c.promisedEnd, c.lapsedBy = c.promisedEnd.Add(d), c.lapsedBy.Add(d)
 }
 
