Tell entries of the lease before the worker is heard of

Callers waited for tasks of a dead agent until their deadline: a new agent process whose worker has not announced itself, and has no record, described itself as one without a lease. Entries then did not release the attempts of the process before it, which had ended with their lease.

The agent process knows from its settings that its worker's tasks run under a lease, and says so from the first Hello.

TestAgentOfUnknownWorkerHasLease fails without the change.

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -63,6 +63,7 @@
 		d.loop.leased = &leasedDriver{
 			loop: d.loop, core: lease.New(lease.Config{}), worker: d.opts.leased, tracker: d.tracker, record: d.record,
 		}
+		core.Step(epoch, agent.LeaseChanged{})
 	}
 	server.Handle("POST /v1/announce", http.HandlerFunc(d.tracker.handleAnnounce))
 	server.Handle("POST /v1/leave", http.HandlerFunc(d.tracker.handleLeave))
--- a/internal/agentd/restarted_worker_test.go
+++ b/internal/agentd/restarted_worker_test.go
@@ -11,6 +11,7 @@
 	"github.com/poplarlever/poplarlever/internal/core/lease"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	fakestore "github.com/poplarlever/poplarlever/internal/fake/store"
+	"github.com/poplarlever/poplarlever/internal/httpserver"
 )
 
 // awaitTakeover waits until the agent has taken over the worker's present instance.
@@ -79,3 +80,15 @@
 	d.restarted(now, next.Instance)
 	qt.Check(t, l.core.Hello().Labels, qt.DeepEquals, next.Labels)
 }
+
+// Guards against an entry that gives up the tasks of an earlier agent process, or waits for them
+// until their callers' deadline: it has to learn that they are under a lease although the worker
+// has not been heard of.
+func TestAgentOfUnknownWorkerHasLease(t *testing.T) {
+	c := qt.New(t)
+	server, err := httpserver.Listen("127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	core := agent.New(agent.Config{Worker: "w", Incarnation: 9, ReleaseAfter: time.Second, Epoch: time.Unix(0, 0)})
+	New(core, "w", time.Unix(0, 0), nil, server, zap.NewNop(), WithLeasedWorker(&stubWorker{}))
+	c.Check(core.Hello().Leased(), qt.IsTrue)
+}
--- a/internal/core/agent/leased.go
+++ b/internal/core/agent/leased.go
@@ -12,10 +12,11 @@
 // no longer echoes a recent agent clock: the entry, or the path to it, may be
 // gone, and its caller may send the job again elsewhere.
 
-// leaseChanged stores the state of the worker's lease.
+// leaseChanged stores the state of the worker's lease. An entry that has attempts of an earlier
+// agent process has to know that they are under a lease, before the worker is heard of.
 func (c *Core) leaseChanged(now time.Time, in LeaseChanged) {
 	before := c.endpoint.advertised()
-	c.endpoint.ready, c.endpoint.settled = in.Ready, in.Settled
+	c.endpoint.leased, c.endpoint.ready, c.endpoint.settled = true, in.Ready, in.Settled
 	if before != c.endpoint.advertised() {
 		c.sendHellos(now)
 	}
