Refuse dispatches that were sent for an earlier description

Callers may see a task start at a worker of another kind: its dispatch was on its way, or waited in a paused agent, while the worker restarted or changed its labels.

A dispatch that names a clock from before the present instance and its labels were announced is refused, and the entry chooses again. Entries name a clock at least as new as the message that told them, so that no dispatch for the present description is refused.

What remains: an entry that dispatches after the announcement and before it has read it, without having read that the worker was away.

--- a/internal/core/agent/endpoint.go
+++ b/internal/core/agent/endpoint.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -28,6 +29,9 @@
 	leased, ready, settled bool
 	join                   uint64
 	number                 uint64
+	// describedAt is the agent's clock when it learned of the present join and labels. A
+	// dispatch that was sent before was chosen by others.
+	describedAt time.Duration
 	// foreignTasks counts the listed tasks that this agent process did not start.
 	foreignTasks int
 	// abandoned holds attempts of this process that ended without a complete
@@ -70,8 +74,11 @@
 	return advertisedState{e.accepts(), e.service, e.slots, e.connections, e.size, e.leased, e.settled, strings.Join(e.labels, ",")}
 }
 
-// apply stores an announcement that is not stale.
-func (e *endpointState) apply(self msg.Incarnation, in EndpointAnnounced) {
+// apply stores an announcement that is not stale and came at a reading of the agent's clock.
+func (e *endpointState) apply(self msg.Incarnation, clock time.Duration, in EndpointAnnounced) {
+	if !e.present || in.Join != e.join || !slices.Equal(in.Labels, e.labels) {
+		e.describedAt = clock
+	}
 	if in.Join > e.join {
 		e.left = false
 	}
@@ -113,7 +120,7 @@
 		return
 	}
 	before := c.endpoint.advertised()
-	c.endpoint.apply(c.cfg.Incarnation, in)
+	c.endpoint.apply(c.cfg.Incarnation, c.Clock(now), in)
 	if before != c.endpoint.advertised() {
 		// Hello also says whether the endpoint is leaving.
 		c.sendHellos(now)
--- a/internal/core/agent/leased.go
+++ b/internal/core/agent/leased.go
@@ -24,11 +24,14 @@
 
 // leaseRefusal returns why an attempt must not start at a leased worker, or zero.
 // A dispatch with an old clock was delayed on the way and is refused, since the
-// entry may have given it up.
+// entry may have given it up. One from before the worker's present description may have been
+// sent here for what an earlier instance was.
 func (c *Core) leaseRefusal(now time.Time, d msg.Dispatch) verdict.RetryReason {
 	switch {
 	case c.Clock(now)-d.EchoedClock >= c.cfg.OrphanAfter:
 		return verdict.StartByPassed
+	case d.EchoedClock < c.endpoint.describedAt:
+		return verdict.WrongIncarnation
 	case !d.Size.FitsIn(c.Room()):
 		return verdict.NoSlot
 	}
