--- a/internal/agentd/restarted_worker_test.go
+++ b/internal/agentd/restarted_worker_test.go
@@ -1,6 +1,7 @@
 package agentd
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -92,3 +93,22 @@
 	New(core, "w", time.Unix(0, 0), nil, server, zap.NewNop(), WithLeasedWorker(&stubWorker{}))
 	c.Check(core.Hello().Leased(), qt.IsTrue)
 }
+
+// Guards against what the driver believes of one instance of the worker that is applied to the
+// next: that it leaves, when it deregistered, which announcement is being checked.
+func TestDriverKeepsNothingOfAnInstance(t *testing.T) {
+	c := qt.New(t)
+	now, a := time.Unix(1000, 0), announcementOf(5, 1, true)
+	other := announcementOf(9, 1, false)
+	d := &leasedDriver{loop: newLoop(agent.New(agent.Config{Worker: "w", Epoch: time.Unix(0, 0)})), core: lease.New(lease.Config{}), worker: &stubWorker{}}
+	d.present = instanceState{
+		instance: a.Instance, address: a.Address, announced: &a, announcedAt: now, answered: true, leftAt: now, candidate: &other, candidateSince: now,
+	}
+	for _, field := range reflect.VisibleFields(reflect.TypeFor[instanceState]()) {
+		c.Assert(reflect.ValueOf(d.present).FieldByIndex(field.Index).IsZero(), qt.IsFalse, qt.Commentf("%s has no value here", field.Name))
+	}
+	next := lease.Instance{ID: "i", StartedAtMs: 7}
+	d.restarted(now, next)
+	c.Check(d.present, qt.Equals, instanceState{instance: next, address: a.Address, answered: true})
+	c.Check(d.left(now, lease.Instance{ID: "i"}), qt.IsFalse)
+}
--- /dev/null
+++ b/internal/core/lease/instance_state_test.go
@@ -0,0 +1,34 @@
+package lease
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a belief about one instance of the worker that is applied to the next, under
+// the same ID or another one: its clock, its silence, the numbers of its ends, what it runs, that
+// it leaves, calls in flight.
+func TestNothingOfAnInstanceIsKeptForTheNext(t *testing.T) {
+	at := time.Unix(1000, 0)
+	for _, id := range []string{"i-1", "i-2"} {
+		c := qt.New(t)
+		core := New(Config{})
+		core.lastCall = 20
+		core.instanceState = instanceState{
+			phase: held, instance: Instance{ID: "i-1", StartedAtMs: 7}, fenceStep: 4, clock: time.Hour, clockAt: at, stoodStill: time.Second,
+			silent: true, unanswered: 3, unansweredSince: at, leaving: true, announcedLeaving: true, crashReported: true, seen: 5, acked: 4,
+			lastCallBefore: 2, holdCall: 18, queryCall: 19, holdSeen: 5, nextHoldAt: at, holdSentAt: at, querySentAt: at, confirmedAt: at,
+			toStart: []delayedStart{{}}, unowned: map[unownedRun]unownedState{{task: "t"}: {}},
+		}
+		for _, field := range reflect.VisibleFields(reflect.TypeFor[instanceState]()) {
+			c.Assert(reflect.ValueOf(core.instanceState).FieldByIndex(field.Index).IsZero(), qt.IsFalse, qt.Commentf("%s has no value here", field.Name))
+		}
+		next := Instance{ID: id, StartedAtMs: 8}
+		core.announced(Announced{Instance: next})
+		c.Check(reflect.DeepEqual(core.instanceState, newInstanceState(next, 20)), qt.IsTrue, qt.Commentf("%+v", core.instanceState))
+		c.Check(core.Ready(), qt.IsFalse)
+	}
+}
