Reproduce a run that a restarted worker knows nothing of

Callers saw: a 503, which says that a job never runs, for a job that had run and that they had cancelled.

Cause: the answers to a start and to the stop after it were late, and the worker restarted under its ID while the agent did not know whether the task had started. The new instance confirms the stop and lists no run, and the agent takes that as proof that the attempt never started, although the earlier instance ran it. Class of fault: an answer of one instance applied to the one before.

--- a/internal/core/lease/restart_lease_test.go
+++ b/internal/core/lease/restart_lease_test.go
@@ -86,3 +86,33 @@
 	}
 	f.c.Fatal("the attempt does not end")
 }
+
+// Guards against an attempt that counts as never started although it ran in the instance
+// before a restart: the restarted worker, which confirms a stop and lists no run, knows
+// nothing of it, and a caller is told that its job never ran.
+func TestAttemptMayHaveRunBeforeRestart(t *testing.T) {
+	f := newFixture(t)
+	start := f.begin()
+	f.step(lease.Answer{Call: start.Call, Status: lease.NoAnswer})
+	f.step(lease.StopTask{Attempt: attempt})
+	stop := onlyOutput[lease.Stop](f)
+	f.step(lease.Answer{Call: stop.Call, Status: lease.NoAnswer})
+	w := f.restartedWorker()
+	for range 20 {
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.core.Tick(f.now)
+		for _, out := range f.core.TakeOutputs() {
+			switch out := out.(type) {
+			case lease.Hold:
+				f.hold = out
+			case lease.Stop:
+				f.step(w.Stop(f.now, out))
+			case lease.Ended:
+				f.c.Check(out.Kind, qt.Equals, msg.ResultAborted)
+				return
+			}
+		}
+		f.step(w.Hold(f.now, f.hold))
+	}
+	f.c.Fatal("the attempt does not end")
+}
