Prove nothing about an attempt by the instance after it

Callers got a 503, which says that a job never runs, for a job that had run and that they had cancelled.

Cause: the answers to a start and to its stop were late, and the worker restarted under its ID before the agent knew whether the task had started. The new instance confirmed the stop and listed no run, which the agent took as proof that the attempt never started. The earlier instance had run it.

Change: once the worker has restarted, an attempt whose start got no answer counts as one that may have run.

TestAttemptMayHaveRunBeforeRestart failed 5 of 5 and passes.

--- a/internal/core/lease/execution.go
+++ b/internal/core/lease/execution.go
@@ -39,8 +39,9 @@
 	stopCall uint64
 	// retryStopAt is when a stop that got no answer is sent again.
 	retryStopAt time.Time
-	// ran is set once the worker has reported the task as running.
-	ran bool
+	// ran is set once the worker has reported the task as running. earlierInstance is set once
+	// the worker has restarted: the new instance does not know what the earlier one ran.
+	ran, earlierInstance bool
 	// conclusiveAfter is a call number: only holds with a larger one show whether
 	// the worker runs the attempt.
 	conclusiveAfter uint64
@@ -62,7 +63,7 @@
 // after the given call show whether the new one runs the attempt, and it does not know of
 // stops.
 func (e *execution) workerRestarted(lastCall uint64) {
-	e.conclusiveAfter, e.missed = lastCall, 0
+	e.conclusiveAfter, e.missed, e.earlierInstance = lastCall, 0, true
 	e.stopCall, e.retryStopAt = 0, time.Time{}
 	if e.state == stopped && !e.ran {
 		e.state = startUnknown
@@ -239,7 +240,7 @@
 		c.stop(e)
 	case stopped:
 		kind := msg.ResultNotReached
-		if e.ran {
+		if e.ran || e.earlierInstance {
 			kind = msg.ResultAborted
 		}
 		c.finish(e, kind, verdict.NeverStarted)
