Play bounded links and restarting workers at the cores

No randomised world of the cores linked an agent to a part of the entries or changed the set, and workers restarted under their ID only beside a simplified driver.

Add TestLeasedTasksRunAtOneWorkerWithBoundedLinks: 5 entries and 6 agents with 2 or 3 links each, chosen by core/subset and drained by the selector's rules; entries that are hidden, reborn or replaced; workers that restart under their ID or another one, with late and lost announcements handled by the driver's rules; agents with successors; the faults of the older worlds. Each start is checked against the runs at all other workers on their own clocks, each named lease against its limits.

--- a/internal/core/coretest/leased_mixed_test.go
+++ b/internal/core/coretest/leased_mixed_test.go
@@ -26,7 +26,7 @@
 		w.submit(name, e, 0)
 		w.after(time.Duration(w.rng.IntN(1500))*time.Millisecond, func() { w.breakCallerConnection(name, e, e.gen) })
 	}
-	w.mixedFault(w.agents[w.rng.IntN(leasedWorkers)], w.entries[w.rng.IntN(leasedEntries)])
+	w.mixedFault(w.randomAgent(), w.randomEntry())
 	w.after(time.Duration(w.rng.IntN(60))*time.Millisecond, w.loadWithMixedFaults)
 }
 
--- a/internal/core/coretest/leased_newer_test.go
+++ b/internal/core/coretest/leased_newer_test.go
@@ -149,7 +149,7 @@
 	}
 	a.dialling[e] = w.now.Add(dialTimeout)
 	e.lastLinkID++
-	id, entryGen := e.lastLinkID, e.gen
+	id, agentGen, entryGen := e.lastLinkID, a.gen, e.gen
 	hello, clock := a.core.Hello(), a.core.Clock(w.now)
 	w.after(500*time.Microsecond, func() {
 		w.inOrder(&e.pausedUntil, stream(e.inputs, id), func() {
@@ -169,6 +169,9 @@
 				return
 			}
 		}
+		if a.gen == agentGen {
+			a.choice.dialFailed(w.now, e)
+		}
 		a.closeLinkLater(agentLink{e, entryGen, id})
 	})
 }
@@ -186,6 +189,7 @@
 	}
 	if a.gen == agentGen && e.gen == entryGen && a.w.now.Before(a.dialling[e]) {
 		delete(a.dialling, e)
+		a.choice.linkUp(e)
 		a.links[welcome.Incarnation] = agentLink{e, entryGen, s.Link}
 		a.w.tracef("%s <- %s link %d welcome", a.name, e.name, s.Link)
 		a.core.Step(a.w.now, agent.LinkUp{Entry: welcome.Incarnation, Name: welcome.Entry})
@@ -235,7 +239,6 @@
 	silent := w.now.Before(s.until) && w.rng.IntN(100) < s.percent
 	var number uint64
 	var timeout time.Duration
-	var do func()
 	worker := a.worker
 	if *newerTrace {
 		switch out := out.(type) {
@@ -252,12 +255,12 @@
 	switch out := out.(type) {
 	case lease.Start:
 		number, timeout = out.Call, out.Timeout
-		do = func() { worker.Start(w.now, out) }
 		if n.restarts && !w.quiesced && w.rng.IntN(40) == 0 {
-			receiver, known := a.worker, a.worker.Instance == out.Instance
+			late := a.lateCall(out)
+			known := a.worker.Instance == out.Instance
 			w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() {
-				if a.worker == receiver && known || n.lateAcrossRestarts {
-					a.worker.Start(w.now, out)
+				if known || n.lateAcrossRestarts {
+					late()
 				}
 			})
 			a.loseCallAfter(number, timeout)
@@ -266,11 +269,9 @@
 		silent = silent && s.starts
 	case lease.Stop:
 		number, timeout = out.Call, out.Timeout
-		do = func() { worker.Stop(w.now, out) }
 		silent = silent && s.stops
 	case lease.Hold:
 		number, timeout = out.Call, out.Timeout
-		do = func() { worker.Hold(w.now, out) }
 		silent = silent && s.holds
 	default:
 		return false
@@ -281,7 +282,7 @@
 	if s.afterRequest {
 		w.after(w.orEndOf(a.pausedUntil).Sub(w.now)+w.callDelay(), func() {
 			if a.worker == worker {
-				do()
+				a.carryOut(out)
 			}
 		})
 	}
@@ -297,6 +298,9 @@
 // submit lets a caller send its job to the entry.
 func (n *newerFaults) submit(name string, e *leasedEntry, resends int) callerKey {
 	n.w.tracef("caller sends %s to %s", name, e.name)
+	if n.w.bounded != nil {
+		n.w.bounded.sent(name, e)
+	}
 	key := callerKey{e, e.gen, uint64(n.w.jobs) + 1}
 	n.callers[key] = &caller{name, resends}
 	n.w.submit(name, e, 0)
@@ -420,7 +424,7 @@
 	if w.quiesced {
 		return
 	}
-	a, f := w.agents[w.rng.IntN(leasedWorkers)], w.entries[w.rng.IntN(leasedEntries)]
+	a, f := w.randomAgent(), w.randomEntry()
 	n.inject(a, f)
 	if n.older {
 		w.mixedFault(a, f)
--- a/internal/core/coretest/leased_steps_test.go
+++ b/internal/core/coretest/leased_steps_test.go
@@ -31,7 +31,7 @@
 		w.after(leaveAfter, func() { w.cancelForGood(name, e, gen) })
 	}
 	if faults {
-		w.mixedFault(w.agents[w.rng.IntN(leasedWorkers)], w.entries[w.rng.IntN(leasedEntries)])
+		w.mixedFault(w.randomAgent(), w.randomEntry())
 	}
 	w.after(time.Duration(w.rng.IntN(60))*time.Millisecond, func() { w.loadWithSteps(faults) })
 }
@@ -49,10 +49,8 @@
 // checkGone checks that no task of the job runs or starts from now on.
 func (w *leasedWorld) checkGone(name string) {
 	for _, a := range w.agents {
-		for task := range a.worker.Running(w.now) {
-			if strings.HasPrefix(task, name+".") {
-				w.c.Fatalf("%s: task %s runs at %s %s after its job was cancelled", w.now, task, a.name, cancelLimit)
-			}
+		if runsTaskOf(a, name) {
+			w.c.Fatalf("%s: a task of %s runs at %s %s after its job was cancelled", w.now, name, a.name, cancelLimit)
 		}
 	}
 	if !w.quiesced {
@@ -60,6 +58,16 @@
 	}
 }
 
+// runsTaskOf reports whether a task of the job runs at the agent's worker.
+func runsTaskOf(a *leasedAgent, job string) bool {
+	for task := range a.worker.Running(a.w.now) {
+		if strings.HasPrefix(task, job+".") {
+			return true
+		}
+	}
+	return false
+}
+
 // Guards against a job that goes on to its next step after its caller has left or cancelled
 // it: tasks run twice at once when the caller sends the job again, and run on when it does
 // not.
--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -1,6 +1,7 @@
 package coretest
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -57,6 +58,9 @@
 	idleHeartbeat time.Duration
 	// newer holds the faults of loadWithNewerFaults, or is nil without them.
 	newer *newerFaults
+	// bounded holds the links of agents to some of the entries, or is nil if each agent
+	// links to every entry.
+	bounded *boundedLinks
 	// lastCheck is the time of the last check by checkSingleRun.
 	lastCheck time.Time
 }
@@ -126,6 +130,14 @@
 	inputs map[any]*inputStream
 	// pauseBeforeSend is a pause between the next step and the sending of its outputs.
 	pauseBeforeSend time.Duration
+	// choice, driver and attempts are used with bounded links only.
+	choice   linkChoice
+	driver   instanceDriver
+	attempts attemptLimits
+	// workerID is the ID of the worker, or empty while it is the name of the agent.
+	workerID string
+	// workerDownUntil is the end of the time in which no process takes calls at the worker.
+	workerDownUntil time.Time
 }
 
 // cutOff reports whether the agent and the entry are partitioned.
@@ -151,6 +163,9 @@
 		IdleHeartbeat: w.idleHeartbeat,
 		AckDelay:      50 * time.Millisecond, RunLimit: time.Minute, MaxQueued: 1000, MaxTasks: 100, MaxPayload: 1 << 10,
 	})
+	if w.bounded != nil {
+		w.bounded.entryDied(e)
+	}
 	e.agents, e.openJobs = make(map[entry.LinkID]*leasedAgent), make(map[uint64]string)
 	e.core.Step(w.now, entry.SetPolicy{Policy: entry.Policy{
 		Revision: 1,
@@ -162,6 +177,9 @@
 }
 
 func (w *leasedWorld) startAgent(a *leasedAgent) {
+	if w.bounded != nil {
+		w.bounded.agentDied(a)
+	}
 	a.gen++
 	a.dialling, a.pauseBeforeSend = make(map[*leasedEntry]time.Time), 0
 	a.inputs = make(map[any]*inputStream)
@@ -177,7 +195,10 @@
 
 func (w *leasedWorld) startWorker(a *leasedAgent) {
 	a.announceAt = w.now.Add(time.Duration(w.rng.Int64N(int64(leasedAnnounceInterval))))
-	a.worker = worker.New(lease.Instance{ID: a.name, StartedAtMs: w.now.UnixMilli()}, w.now, workerCores, func(task string) (time.Duration, lease.EndKind) {
+	if w.bounded != nil {
+		w.bounded.workerDied(a)
+	}
+	a.worker = worker.New(lease.Instance{ID: cmp.Or(a.workerID, a.name), StartedAtMs: w.now.UnixMilli()}, w.now, workerCores, func(task string) (time.Duration, lease.EndKind) {
 		if took, fixed := w.runTimes[task]; fixed {
 			return took, lease.Done
 		}
@@ -202,6 +223,7 @@
 func (a *leasedAgent) link(e *leasedEntry) {
 	w := a.w
 	if a.cutOff(e) || w.now.Before(a.pausedUntil) || w.now.Before(e.pausedUntil) || w.now.Before(e.downUntil) {
+		a.choice.dialFailed(w.now, e)
 		return
 	}
 	for _, l := range a.links {
@@ -296,6 +318,10 @@
 		}
 	case entry.Answered:
 		e.w.answered(e, out)
+	case entry.Progress:
+		if e.w.bounded != nil {
+			e.w.bounded.progress(out)
+		}
 	}
 }
 
@@ -329,6 +355,9 @@
 		busy = false
 		for _, out := range a.core.TakeOutputs() {
 			busy = true
+			if w.bounded != nil {
+				w.bounded.observeAgent(a, out)
+			}
 			switch out := out.(type) {
 			case agent.Send:
 				a.send(out)
@@ -355,20 +384,23 @@
 		}
 		for _, out := range a.lease.TakeOutputs() {
 			busy = true
+			if w.bounded != nil {
+				w.bounded.observeLease(a, out)
+			}
 			if w.newer != nil && a.callSilently(out) {
 				continue
 			}
 			switch out := out.(type) {
 			case lease.Start:
-				a.call(out.Call, func() lease.Answer { return a.worker.Start(w.now, out) })
+				a.call(out.Call, out)
 			case lease.Stop:
 				if w.now.Before(a.stopsLostUntil) {
 					a.loseCall(out.Call)
 					continue
 				}
-				a.call(out.Call, func() lease.Answer { return a.worker.Stop(w.now, out) })
+				a.call(out.Call, out)
 			case lease.Hold:
-				a.call(out.Call, func() lease.Answer { return a.worker.Hold(w.now, out) })
+				a.call(out.Call, out)
 			case lease.Ended:
 				a.core.Step(w.now, agent.TaskEnded{Attempt: out.Attempt, Kind: out.Kind, RunTime: out.RunTime})
 			}
@@ -382,6 +414,9 @@
 		a.reportedLease = state
 		a.core.Step(a.w.now, state)
 	}
+	if a.reportedLease.Settled {
+		a.driver.answered = true
+	}
 }
 
 func (a *leasedAgent) send(out agent.Send) {
@@ -397,8 +432,14 @@
 		}
 		w.inOrder(&l.to.pausedUntil, stream(l.to.inputs, l.link), func() {
 			if l.gen == l.to.gen && !l.to.muteToEntry[l.link] {
+				if w.bounded != nil {
+					w.bounded.receiving, _ = out.Message.(msg.Result)
+				}
 				l.to.core.Step(w.now, entry.Received{Link: l.link, Clock: clock, Message: out.Message})
 				l.to.drain()
+				if w.bounded != nil {
+					w.bounded.receiving = msg.Result{}
+				}
 			}
 		})
 	})
@@ -407,17 +448,13 @@
 // call makes a call to the worker and passes the answer to the lease. At random,
 // more often until callsLateUntil, the call gets no answer and is lost or carried
 // out up to 6 s later by the instance of the worker that received it.
-func (a *leasedAgent) call(number uint64, do func() lease.Answer) {
+func (a *leasedAgent) call(number uint64, out lease.Output) {
 	w := a.w
 	answer := a.answerer()
 	if !w.quiesced && (w.now.Before(a.callsLateUntil) && w.rng.IntN(2) == 0 || w.rng.IntN(200) == 0) {
 		if w.rng.IntN(2) == 0 {
-			receiver := a.worker
-			w.after(time.Duration(w.rng.IntN(6000))*time.Millisecond, func() {
-				if a.worker == receiver {
-					do()
-				}
-			})
+			late := a.lateCall(out)
+			w.after(time.Duration(w.rng.IntN(6000))*time.Millisecond, late)
 		}
 		a.loseCall(number)
 		return
@@ -427,11 +464,48 @@
 		if a.gen != gen && sendingAt.After(a.epoch) {
 			return
 		}
-		result := do()
+		result := a.carryOut(out)
+		if hold, ok := out.(lease.Hold); ok && w.bounded != nil {
+			a.answerAtEnd(a.worker, hold, w.now.Add(hold.Wait), result, answer)
+			return
+		}
 		w.after(w.callDelay(), func() { answer(result) })
 	})
 }
 
+// lateCall returns a function that lets the worker carry out a call later.
+func (a *leasedAgent) lateCall(out lease.Output) func() {
+	if a.w.bounded != nil {
+		return a.w.bounded.lateCall(a, out)
+	}
+	receiver := a.worker
+	return func() {
+		if a.worker == receiver {
+			a.carryOut(out)
+		}
+	}
+}
+
+// carryOut lets the worker carry out a call.
+func (a *leasedAgent) carryOut(out lease.Output) lease.Answer {
+	if a.w.bounded != nil {
+		return a.w.bounded.carryOut(a, out)
+	}
+	return a.carryOutUnchecked(out)
+}
+
+func (a *leasedAgent) carryOutUnchecked(out lease.Output) lease.Answer {
+	switch out := out.(type) {
+	case lease.Start:
+		return a.worker.Start(a.w.now, out)
+	case lease.Stop:
+		return a.worker.Stop(a.w.now, out)
+	case lease.Hold:
+		return a.worker.Hold(a.w.now, out)
+	}
+	panic(fmt.Sprintf("%T is no call", out))
+}
+
 // loseCall lets a call time out.
 func (a *leasedAgent) loseCall(number uint64) {
 	answer := a.answerer()
@@ -456,7 +530,7 @@
 func (w *leasedWorld) submit(name string, e *leasedEntry, resends int) {
 	w.jobs++
 	id, gen := uint64(w.jobs), e.gen
-	job := entry.Job{ID: id, Service: "s", JobType: "job", Account: "a", Deadline: w.now.Add(4 * time.Second)}
+	job := entry.Job{ID: id, Service: "s", JobType: "job", Account: "a", Deadline: w.now.Add(4 * time.Second), Progress: w.bounded != nil}
 	for i := range 1 + int(id)%5 {
 		job.Tasks = append(job.Tasks, entry.Task{
 			Name: fmt.Sprintf("%s.%d", name, i), DeclaredSize: msg.Size{Cores: 1}, DeclaredRunTime: 200 * time.Millisecond,
@@ -503,11 +577,15 @@
 	})
 }
 
+func (w *leasedWorld) randomEntry() *leasedEntry { return w.entries[w.rng.IntN(len(w.entries))] }
+
+func (w *leasedWorld) randomAgent() *leasedAgent { return w.agents[w.rng.IntN(len(w.agents))] }
+
 // randomLiveEntry returns a random entry that is not down.
 func (w *leasedWorld) randomLiveEntry() *leasedEntry {
-	e := w.entries[w.rng.IntN(leasedEntries)]
+	e := w.randomEntry()
 	for w.now.Before(e.downUntil) {
-		e = w.entries[w.rng.IntN(leasedEntries)]
+		e = w.randomEntry()
 	}
 	return e
 }
@@ -515,7 +593,8 @@
 // checkSingleRun checks that no task runs at two workers. It does so once per
 // millisecond, because tasks take at least 5 ms.
 func (w *leasedWorld) checkSingleRun() {
-	if w.now.Sub(w.lastCheck) < time.Millisecond {
+	if w.bounded != nil || w.now.Sub(w.lastCheck) < time.Millisecond {
+		// With bounded links, each start is checked when it is carried out.
 		return
 	}
 	w.lastCheck = w.now
@@ -538,14 +617,23 @@
 		}
 	}
 	for _, a := range w.agents {
+		if w.bounded != nil {
+			a.sendAnnouncement()
+		}
 		if w.now.Before(a.pausedUntil) {
 			continue
 		}
-		a.announce()
+		if w.bounded == nil {
+			a.announce()
+		}
 		a.core.Tick(w.now)
 		a.lease.Tick(w.now)
 		a.drain()
-		for _, e := range w.entries {
+		wanted := w.entries
+		if w.bounded != nil {
+			wanted = w.bounded.missingLinks(a)
+		}
+		for _, e := range wanted {
 			a.link(e)
 		}
 	}
@@ -579,8 +667,8 @@
 	if w.quiesced {
 		return
 	}
-	w.submit(fmt.Sprintf("job-%d", w.jobs), w.entries[w.rng.IntN(leasedEntries)], 2)
-	a, e := w.agents[w.rng.IntN(leasedWorkers)], w.entries[w.rng.IntN(leasedEntries)]
+	w.submit(fmt.Sprintf("job-%d", w.jobs), w.randomEntry(), 2)
+	a, e := w.randomAgent(), w.randomEntry()
 	switch w.rng.IntN(300) {
 	case 0:
 		w.startWorker(a)
@@ -604,7 +692,7 @@
 	if w.quiesced {
 		return
 	}
-	e := w.entries[w.rng.IntN(leasedEntries)]
+	e := w.randomEntry()
 	w.startEntry(e)
 	e.downUntil = w.randomEnd(2 * time.Second)
 	w.after(time.Duration(2000+w.rng.IntN(4000))*time.Millisecond, w.crashEntries)
@@ -626,6 +714,10 @@
 const uniformHeartbeatSeeds = 5
 
 func newLeasedWorld(c *qt.C, seed uint64) *leasedWorld {
+	return newLeasedWorldOf(c, seed, leasedEntries, leasedWorkers)
+}
+
+func newLeasedWorldOf(c *qt.C, seed uint64, entries, workers int) *leasedWorld {
 	w := &leasedWorld{
 		c: c, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0),
 		answers: make(map[entry.Outcome]int), done: make(map[string]bool), runTimes: make(map[string]time.Duration),
@@ -633,12 +725,12 @@
 	if seed >= uniformHeartbeatSeeds {
 		w.idleHeartbeat = 2 * time.Second
 	}
-	for i := range leasedEntries {
+	for i := range entries {
 		e := &leasedEntry{w: w, name: fmt.Sprint("entry-", i)}
 		w.startEntry(e)
 		w.entries = append(w.entries, e)
 	}
-	for i := range leasedWorkers {
+	for i := range workers {
 		a := &leasedAgent{w: w, name: fmt.Sprint("worker-", i), cutUntil: make(map[*leasedEntry]time.Time)}
 		w.startWorker(a)
 		w.startAgent(a)
