Let the soak play fleets of any size

Cause: the soak had 3 entries and 5 workers in 2 failure domains, so each agent linked to every entry.

Change: -soak.entries, -soak.workers and -soak.domains. A disturbance hits one entry for each 30 and one worker for each 80, at least one each. Above 12 entries seeds add one or two of remove-entry (away for 2.2 to 5 s, so that agents choose others), replace-entry (the same, and back at another address) and kill-domain, and the summary counts the links and those that agents ended by plan, by the agents' metrics. A seed with remove-entry fails unless one did. Entries start at the same time. Names of workers get leading zeros: proxies looked for worker-1 in what is sent, and would have taken worker-10 to worker-19 for it.

--- a/internal/processtest/soak_process_test.go
+++ b/internal/processtest/soak_process_test.go
@@ -33,12 +33,13 @@
 type soakProcess struct {
 	s       *soak
 	name    string
+	zone    string
 	args    []string
 	address string
 	// front and ready are the addresses of an entry for callers and for the balancer.
 	front, ready string
 	// links is the proxy between agents and an entry, callers that between callers and
-	// an entry.
+	// an entry. links changes with soak.mu held when an entry moves.
 	links, callers *proxy
 
 	mu       sync.Mutex
@@ -47,6 +48,8 @@
 	exited   chan struct{}
 	// asked is set once a signal that ends the process has been sent.
 	asked bool
+	// awayUntil is when the process may start again.
+	awayUntil time.Time
 	// frozenFrom and frozenUntil bound the latest SIGSTOP.
 	frozenFrom, frozenUntil time.Time
 }
@@ -55,6 +58,11 @@
 func (p *soakProcess) launch() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for time.Now().Before(p.awayUntil) && !p.s.over() {
+		p.mu.Unlock()
+		p.s.sleep(10 * time.Millisecond)
+		p.mu.Lock()
+	}
 	if p.s.over() {
 		return
 	}
@@ -86,6 +94,22 @@
 	p.launch()
 }
 
+// remove kills the process and starts it again after a time.
+func (p *soakProcess) remove(long time.Duration) {
+	p.mu.Lock()
+	p.awayUntil = time.Now().Add(long)
+	p.mu.Unlock()
+	p.s.logf("%s is away for %s", p.name, long)
+	p.signal(syscall.SIGKILL)
+}
+
+// isAway reports whether the process has been removed for a time.
+func (p *soakProcess) isAway() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Now().Before(p.awayUntil)
+}
+
 // signal sends a signal. After SIGTERM the process has gracePeriod to end.
 func (p *soakProcess) signal(sig syscall.Signal) {
 	p.mu.Lock()
@@ -186,26 +210,35 @@
 }
 
 func (s *soak) startEntries() {
-	for i := range soakEntries {
-		p := &soakProcess{s: s, name: fmt.Sprint("entry-", i), address: s.keptAddress(), front: s.keptAddress(), ready: s.keptAddress()}
+	for i := range s.size.entries {
+		p := &soakProcess{s: s, name: fmt.Sprint("entry-", i), zone: s.zone(i), address: s.keptAddress(), front: s.keptAddress(), ready: s.keptAddress()}
 		p.links, p.callers = startProxy(s, p.address, s.workerNames()...), startProxy(s, p.front)
 		s.entries = append(s.entries, p)
 	}
-	for i, p := range s.entries {
-		p.args = []string{"entry", "--settings", s.writeSettings("entry.tmpl", p.name, `advertise = "`+p.links.address+"\"\n", s.entryAddresses(), map[string]string{
-			"node": p.name, "zone": fmt.Sprint("zone-", i%2), "listen.control": p.address, "platform.address": s.store,
-			"listen.front": p.front, "listen.ready": p.ready, "limits.memoryMb": "128",
-		})}
+	for _, p := range s.entries {
+		p.args = []string{"entry", "--settings", s.writeEntrySettings(p)}
 		p.launch()
+	}
+	for _, p := range s.entries {
 		waitReady(s.c, p.address)
 	}
 }
 
+func (s *soak) writeEntrySettings(p *soakProcess) string {
+	return s.writeSettings("entry.tmpl", p.name, `advertise = "`+p.links.address+"\"\n", s.entryAddresses(), map[string]string{
+		"node": p.name, "zone": p.zone, "listen.control": p.address, "platform.address": s.store,
+		"listen.front": p.front, "listen.ready": p.ready, "limits.memoryMb": "128",
+	})
+}
+
+// zone returns the failure domain of the entry or worker i.
+func (s *soak) zone(i int) string { return fmt.Sprint("zone-", i%s.size.domains) }
+
 func (s *soak) startAgents() {
 	for i, worker := range s.workerNames() {
-		p := &soakProcess{s: s, name: fmt.Sprint("agent-", i), address: s.keptAddress()}
+		p := &soakProcess{s: s, name: fmt.Sprint("agent-", i), zone: s.zone(i), address: s.keptAddress()}
 		p.args = []string{"agent", "--settings", s.writeSettings("agent.tmpl", p.name, "", s.entryAddresses(), map[string]string{
-			"node": worker, "zone": fmt.Sprint("zone-", i%2), "listen.control": p.address, "platform.address": s.store, "service": soakService,
+			"node": worker, "zone": p.zone, "listen.control": p.address, "platform.address": s.store, "service": soakService,
 		})}
 		s.agents = append(s.agents, p)
 		p.launch()
--- a/internal/processtest/soak_proxy_test.go
+++ b/internal/processtest/soak_proxy_test.go
@@ -117,6 +117,19 @@
 	}
 }
 
+// peerCount returns the number of peers that have a connection.
+func (p *proxy) peerCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := make(map[string]bool)
+	for conn := range p.conns {
+		if conn.peer != "" {
+			names[conn.peer] = true
+		}
+	}
+	return len(names)
+}
+
 // silence swallows from now on what is sent on the connection of a client address.
 func (p *proxy) silence(client net.Addr) {
 	p.mu.Lock()
@@ -221,9 +234,13 @@
 func (conn *proxiedConn) identify(content []byte) {
 	conn.p.mu.Lock()
 	defer conn.p.mu.Unlock()
+	if conn.peer != "" {
+		return
+	}
 	for _, name := range conn.p.peers {
-		if conn.peer == "" && bytes.Contains(content, name) {
+		if bytes.Contains(content, name) {
 			conn.peer = string(name)
+			return
 		}
 	}
 }
--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -3,13 +3,16 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,11 +35,18 @@
 	soakLong    = flag.Bool("soak.long", false, "let all callers send jobs of two steps, of 0.1 to 0.3 s and of 3.5 s, and none cancel them")
 	soakCallers = flag.Int("soak.callers", 16, "number of callers")
 	soakSlots   = flag.Int("soak.slots", 8, "number of tasks that a worker runs at the same time")
+	soakEntries = flag.Int("soak.entries", 3, "number of entries; with more than 12, agents choose their links and seeds add faults that need that. A disturbance hits one entry for each 30")
+	soakWorkers = flag.Int("soak.workers", 5, "number of workers, each with an agent. A disturbance hits one worker for each 80")
+	soakDomains = flag.Int("soak.domains", 2, "number of failure domains")
 )
 
 const (
-	soakEntries = 3
-	soakWorkers = 5
+	// agentLinks is the number of entries that an agent chooses (links in deploy/agent.tmpl).
+	agentLinks = 12
+	// A disturbance hits one of entriesPerFault entries and one of workersPerFault workers, at
+	// least one each. A shorter -soak.pause does the rest for a large fleet, so that processes are
+	// not all started at the same moment.
+	entriesPerFault, workersPerFault = 30, 80
 	// soakMinAnswered is the number of complete jobs below which a seed shows nothing.
 	soakMinAnswered = 10
 	// maxHeldUp is a pause of the test's own process that callers' answers may be late by.
@@ -56,10 +66,14 @@
 job,soak,soak,,,,,,,,,soak.example,/jobs/,1,4,60ms,1.6
 `
 
+// soakSize is the number of entries, workers and failure domains of a run, and its duration.
+type soakSize struct{ entries, workers, domains, seconds int }
+
 // soak is the run of one seed.
 type soak struct {
 	c     *qt.C
 	seed  uint64
+	size  soakSize
 	dir   string
 	store string
 	// entries and agents are set before the first fault.
@@ -81,6 +95,8 @@
 	cancelled map[string]time.Time
 	stepTasks map[string][]string
 	counts    map[string]int
+	// domainKilledAt is when a failure domain was killed last. Only faults use it.
+	domainKilledAt time.Time
 	// heldUpUntil is the end of the latest pause of this process.
 	heldUpUntil time.Time
 
@@ -150,8 +166,10 @@
 
 func (s *soak) workerNames() []string {
 	var names []string
-	for i := range soakWorkers {
-		names = append(names, fmt.Sprint("worker-", i))
+	width := len(strconv.Itoa(s.size.workers - 1))
+	for i := range s.size.workers {
+		// No name is a part of another one, since proxies find names in what is sent.
+		names = append(names, fmt.Sprintf("worker-%0*d", width, i))
 	}
 	return names
 }
@@ -297,12 +315,73 @@
 	}},
 }
 
+// soakBoundedFaults let agents choose other entries. Seeds use them in addition if there are
+// more entries than an agent links to.
+var soakBoundedFaults = []fault{
+	{"remove-entry", func(s *soak, rng *rand.Rand, _ *soakWorker, _, e *soakProcess) { s.removeEntry(rng, e, false) }},
+	{"replace-entry", func(s *soak, rng *rand.Rand, _ *soakWorker, _, e *soakProcess) { s.removeEntry(rng, e, true) }},
+	{"kill-domain", func(s *soak, rng *rand.Rand, _ *soakWorker, _, e *soakProcess) { s.killDomain(rng, e.zone) }},
+}
+
+// removeEntry kills an entry and starts it again once agents have chosen others, perhaps at
+// another address. A tenth of the entries are away at most.
+func (s *soak) removeEntry(rng *rand.Rand, e *soakProcess, move bool) {
+	away := 0
+	for _, other := range s.entries {
+		if other.isAway() {
+			away++
+		}
+	}
+	if e.isAway() || away > 0 && away >= s.size.entries/10 {
+		return
+	}
+	e.remove(randomTime(rng, 2200*time.Millisecond, 5*time.Second))
+	if move {
+		e.links.close()
+		links := startProxy(s, e.address, s.workerNames()...)
+		s.locked(func() { e.links = links })
+		s.writeEntrySettings(e)
+		s.logf("%s moves to %s", e.name, e.links.address)
+	}
+}
+
+// killDomain kills all entries and agents of a failure domain for up to a second, and half
+// the times its workers too, which agents outlive otherwise.
+func (s *soak) killDomain(rng *rand.Rand, zone string) {
+	if time.Since(s.domainKilledAt) < 5*time.Second {
+		return
+	}
+	s.domainKilledAt = time.Now()
+	long, power := randomTime(rng, 0, time.Second), rng.IntN(2) == 0
+	for _, p := range slices.Concat(s.entries, s.agents) {
+		if p.zone == zone && !p.isAway() {
+			p.remove(long)
+		}
+	}
+	for i, w := range s.workers {
+		if power && s.agents[i].zone == zone {
+			s.locked(w.crash)
+		}
+	}
+}
+
+// targets returns how many workers or entries the fault hits.
+func (f fault) targets(size soakSize) int {
+	switch {
+	case strings.HasSuffix(f.name, "-domain"):
+		return 1
+	case strings.HasSuffix(f.name, "-entry"), strings.HasSuffix(f.name, "-callers"):
+		return max(1, size.entries/entriesPerFault)
+	}
+	return max(1, size.workers/workersPerFault)
+}
+
 // chooseFaults returns the faults of a seed, so that seeds differ in what happens
 // together.
-func chooseFaults(rng *rand.Rand, only string) []fault {
+func (s *soak) chooseFaults(rng *rand.Rand, only string) []fault {
 	var chosen []fault
 	if only != "" {
-		for _, f := range slices.Concat(soakFaults, soakNamedFaults) {
+		for _, f := range slices.Concat(soakFaults, soakNamedFaults, soakBoundedFaults) {
 			if strings.Contains(","+only+",", ","+f.name+",") {
 				chosen = append(chosen, f)
 			}
@@ -312,11 +391,16 @@
 	for _, i := range rng.Perm(len(soakFaults))[:3+rng.IntN(6)] {
 		chosen = append(chosen, soakFaults[i])
 	}
+	if s.size.entries > agentLinks {
+		for _, i := range rng.Perm(len(soakBoundedFaults))[:1+rng.IntN(2)] {
+			chosen = append(chosen, soakBoundedFaults[i])
+		}
+	}
 	return chosen
 }
 
 // disturb injects the faults until the run is over. For a while it prefers one worker and
-// one entry, so that faults meet there.
+// one entry, in a large fleet a few that follow each other, so that faults meet there.
 func (s *soak) disturb(rng *rand.Rand, faults []fault) {
 	pause := randomTime(rng, 80*time.Millisecond, 500*time.Millisecond)
 	if *soakPause > 0 {
@@ -327,17 +411,20 @@
 	for !s.over() {
 		s.sleep(randomTime(rng, pause/4, 2*pause))
 		if time.Now().After(changeAt) {
-			focus, entry = rng.IntN(soakWorkers), rng.IntN(soakEntries)
+			focus, entry = rng.IntN(s.size.workers), rng.IntN(s.size.entries)
 			changeAt = time.Now().Add(randomTime(rng, time.Second, 4*time.Second))
 		}
 		w, e := focus, entry
 		if rng.IntN(3) == 0 {
-			w, e = rng.IntN(soakWorkers), rng.IntN(soakEntries)
+			w, e = rng.IntN(s.size.workers), rng.IntN(s.size.entries)
 		}
 		for range []int{1, 1, 2, 3}[rng.IntN(4)] {
 			f := faults[rng.IntN(len(faults))]
-			s.logf("fault %s at worker %d, entry %d", f.name, w, e)
-			f.do(s, rng, s.workers[w], s.agents[w], s.entries[e])
+			for i := range f.targets(s.size) {
+				w, e := (w+i)%s.size.workers, (e+i)%s.size.entries
+				s.logf("fault %s at worker %d, entry %d", f.name, w, e)
+				f.do(s, rng, s.workers[w], s.agents[w], s.entries[e])
+			}
 		}
 	}
 }
@@ -372,13 +459,13 @@
 }
 
 // newSoak starts the processes and the stand-ins. They end with the test.
-func newSoak(t *testing.T, seed uint64) *soak {
+func newSoak(t *testing.T, seed uint64, size soakSize) *soak {
 	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
 	qt.Assert(t, err, qt.IsNil)
 	events, err := os.Create(filepath.Join(dir, "events.log"))
 	qt.Assert(t, err, qt.IsNil)
 	s := &soak{
-		c: qt.New(t), seed: seed, dir: dir, events: events, overCh: make(chan struct{}), runs: make(map[string]bool),
+		c: qt.New(t), seed: seed, size: size, dir: dir, events: events, overCh: make(chan struct{}), runs: make(map[string]bool),
 		done: make(map[string]bool), refused: make(map[string]bool), counts: make(map[string]int),
 		cancelled: make(map[string]time.Time), stepTasks: make(map[string][]string),
 	}
@@ -398,6 +485,8 @@
 	return s
 }
 
+func flagSize() soakSize { return soakSize{*soakEntries, *soakWorkers, *soakDomains, *soakSeconds} }
+
 // random returns one of the random sequences of the seed.
 func (s *soak) random(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.seed, stream)) }
 
@@ -413,11 +502,13 @@
 	cause string
 }
 
-func (k soakCase) run(t *testing.T) {
+func (k soakCase) run(t *testing.T) { k.runAt(t, flagSize()) }
+
+func (k soakCase) runAt(t *testing.T, size soakSize) {
 	seed := k.seed
-	s := newSoak(t, seed)
+	s := newSoak(t, seed, size)
 	rng := s.random(0)
-	faults := chooseFaults(rng, k.only)
+	faults := s.chooseFaults(rng, k.only)
 	var names []string
 	for _, f := range faults {
 		names = append(names, f.name)
@@ -437,7 +528,10 @@
 	}
 	group.Go(func() { s.sleep(2 * time.Second); s.disturb(rng, faults) })
 	group.Go(s.logEnds)
-	s.sleep(time.Duration(*soakSeconds) * time.Second)
+	s.sleep(time.Duration(size.seconds) * time.Second)
+	if size.entries > agentLinks {
+		s.checkLinks(names)
+	}
 	s.stop()
 	group.Wait()
 	var counts map[string]int
@@ -475,6 +569,46 @@
 	}
 }
 
+// leavingMetric is the number of links that the process of an agent has ended by plan.
+var leavingMetric = regexp.MustCompile(`poplarlever_link_messages_total\{direction="sent",kind="leaving"\} (\d+)`)
+
+// countLinks counts the links, and those that the agents' present processes have ended by plan.
+func (s *soak) countLinks() (linked, planned int) {
+	s.locked(func() {
+		for _, e := range s.entries {
+			linked += e.links.peerCount()
+		}
+	})
+	client := &http.Client{Timeout: 200 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, a := range s.agents {
+		resp, err := client.Get("http://" + a.address + "/metrics")
+		if err != nil {
+			continue
+		}
+		content, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if found := leavingMetric.FindSubmatch(content); found != nil {
+			n, _ := strconv.Atoi(string(found[1]))
+			planned += n
+		}
+	}
+	return linked, planned
+}
+
+// checkLinks counts links and waits until agents have ended some by plan: an entry that was
+// away is linked again in place of the one that was chosen meanwhile.
+func (s *soak) checkLinks(faults []string) {
+	linked, planned := s.countLinks()
+	for end := time.Now().Add(waitTimeout); planned == 0 && slices.Contains(faults, "remove-entry") && !s.over(); _, planned = s.countLinks() {
+		if time.Now().After(end) {
+			s.failf("no agent has ended a link by plan, though it chooses %d of %d entries", agentLinks, s.size.entries)
+			return
+		}
+		s.sleep(time.Second)
+	}
+	s.locked(func() { s.counts["links"], s.counts["links ended by plan"] = linked, planned })
+}
+
 // shutDown ends all processes and stand-ins.
 func (s *soak) shutDown() {
 	s.stop()
@@ -530,7 +664,7 @@
 // request whose connection was reset meanwhile, while the job runs elsewhere because its
 // caller has sent it again.
 func TestFrozenEntryStartsNothingForCallerThatLeft(t *testing.T) {
-	s := newSoak(t, 1)
+	s := newSoak(t, 1, flagSize())
 	defer s.report(t)
 	callers := make([]*soakCaller, *soakCallers)
 	for i := range callers {
@@ -579,22 +713,22 @@
 // cancelLate lets a caller leave just after each worker's agent has been disturbed and stops
 // began to be lost, and send its job to another entry.
 func cancelLate(t *testing.T, disturb func(s *soak, agent int)) {
-	s := newSoak(t, 1)
+	s := newSoak(t, 1, flagSize())
 	defer s.report(t)
 	background, caller := s.newCaller(0), s.newCaller(1)
 	first, other := s.entries[0], s.entries[1]
 	waitFor(s.c, "jobs through two entries", func() bool {
 		for _, e := range []*soakProcess{first, other} {
-			if status, _ := caller.try(e, caller.newJob(taskPlan{Ms: 5}, soakWorkers)); status != http.StatusOK {
+			if status, _ := caller.try(e, caller.newJob(taskPlan{Ms: 5}, s.size.workers)); status != http.StatusOK {
 				return false
 			}
 		}
 		return true
 	})
 	// Tasks of the other entry let the agents renew their leases.
-	go background.try(other, background.newJob(taskPlan{Hangs: true}, 3*soakWorkers))
+	go background.try(other, background.newJob(taskPlan{Hangs: true}, 3*s.size.workers))
 	time.Sleep(200 * time.Millisecond)
-	job := caller.newJob(taskPlan{Hangs: true}, soakWorkers)
+	job := caller.newJob(taskPlan{Hangs: true}, s.size.workers)
 	job.deadline = time.Now().Add(4 * time.Second)
 	time.AfterFunc(300*time.Millisecond, func() {
 		s.locked(func() {
@@ -615,7 +749,7 @@
 // Guards against a second run of a task whose caller's connection has fallen silent and who
 // sends its job to another entry while the first one lives and knows nothing of it.
 func TestSilentCallerSeesOneRun(t *testing.T) {
-	s := newSoak(t, 1)
+	s := newSoak(t, 1, flagSize())
 	defer s.report(t)
 	first, other := s.entries[0], s.entries[1]
 	before, after := s.newCaller(0), s.newCaller(1)
