Soak the links that agents choose

Change: TestSoakOfChosenLinks plays 15 entries and 16 workers in 5 failure domains for 9 s: entries that go away and come back, some at another address, a failure domain that is killed, workers that crash and lost stops.

--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -660,6 +660,12 @@
 	}
 }
 
+// Guards against faults of links that agents choose, end by plan and replace: fleets with as
+// few entries as the other soaks have link each agent to every entry.
+func TestSoakOfChosenLinks(t *testing.T) {
+	soakCase{seed: 1, only: "remove-entry,replace-entry,kill-domain,crash-worker,lose-stops"}.runAt(t, soakSize{entries: 15, workers: 16, domains: 5, seconds: 9})
+}
+
 // Guards against a second run of a task when an entry that was frozen goes on: it reads a
 // request whose connection was reset meanwhile, while the job runs elsewhere because its
 // caller has sent it again.
