Apply a deregistration to the instance that sent it

A deregistration that arrives late, after its worker has restarted under the same ID, took the new instance out of use for 3 s and marked its record as leaving for good: the notice was matched by the ID alone.

Where the notice says when its worker started, it now counts for that instance only, and the record is marked only if the notice applies. One without a start time is handled as before.

TestDeregistrationOfEarlierLifeIsIgnored failed before (worker and record leaving).

--- a/internal/agentd/instance.go
+++ b/internal/agentd/instance.go
@@ -115,10 +115,13 @@
 }
 
 // left handles a notice that the worker is leaving, and reports whether it is that of the
-// present instance. The notice names the ID alone: before the present instance has announced
-// itself, it comes from an earlier one.
+// present instance. A notice that names the ID alone comes from an earlier one before the
+// present instance has announced itself.
 func (d *leasedDriver) left(now time.Time, instance lease.Instance) bool {
 	p := &d.present
+	if instance.StartedAtMs != 0 && instance != p.instance {
+		return false
+	}
 	if p.announced == nil || !d.core.WorkerLeaving(now, instance) {
 		return false
 	}
--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -158,14 +158,14 @@
 	d.loop.submit(func(now time.Time) { d.loop.leased.applyAnnouncement(now, a) })
 }
 
-// Left handles a leased worker's notice that the given instance is leaving. It is safe
-// for concurrent use.
+// Left handles a leased worker's notice that the given instance is leaving. A zero StartedAtMs
+// means that the notice does not tell when it started. It is safe for concurrent use.
 func (d *Daemon) Left(instance lease.Instance) {
-	if d.record != nil {
-		d.record.left(instance.ID)
-	}
 	d.loop.submit(func(now time.Time) {
 		if d.loop.leased.left(now, instance) {
+			if d.record != nil {
+				d.record.left(instance.ID)
+			}
 			d.loop.core.Step(now, agent.EndpointLeaving{})
 		}
 	})
--- a/internal/agentd/restarted_worker_test.go
+++ b/internal/agentd/restarted_worker_test.go
@@ -112,3 +112,18 @@
 	c.Check(d.present, qt.Equals, instanceState{instance: next, address: a.Address, answered: true})
 	c.Check(d.left(now, lease.Instance{ID: "i"}), qt.IsFalse)
 }
+
+// Guards against a late deregistration of an earlier life that takes the worker out of use, or
+// its record for good.
+func TestDeregistrationOfEarlierLifeIsIgnored(t *testing.T) {
+	s := fakestore.New(fakestore.Rates{Reads: 1000, Writes: 1000})
+	f := newOddFixture(t, WithWorkerRecord(s, "s"))
+	f.c.Assert(f.waitUntilInUse(6*time.Second), qt.IsTrue)
+	f.daemon.Left(lease.Instance{ID: "i", StartedAtMs: 4})
+	f.c.Check(f.hello().Leaving, qt.IsFalse)
+	f.daemon.record.mu.Lock()
+	f.c.Check(f.daemon.record.wanted.Leaving, qt.IsFalse)
+	f.daemon.record.mu.Unlock()
+	f.daemon.Left(lease.Instance{ID: "i", StartedAtMs: 5})
+	f.c.Check(f.hello().Leaving, qt.IsTrue)
+}
