Test that answers of an earlier instance prove nothing of the next

Deliberate faults of the lease core that no test found: the promised end of the lease is dropped at a restart, a stop answered by the earlier instance counts for the next, a list of the earlier one counts for a missing run, a broken hold does not delay a start.

--- a/internal/core/lease/confirm_test.go
+++ b/internal/core/lease/confirm_test.go
@@ -58,3 +58,16 @@
 		})
 	}
 }
+
+// Guards against a start at a worker whose connection has just broken: it may have crashed and
+// run again under its ID within milliseconds.
+func TestStartAfterBrokenHoldWaitsForTheInstance(t *testing.T) {
+	f := newFixture(t)
+	start := f.begin()
+	f.step(lease.Answer{Call: start.Call, Status: lease.OK, Clock: f.clock()})
+	f.answerHold(lease.Answer{Status: lease.NoAnswer})
+	f.step(lease.RunTask{Attempt: msg.AttemptID{Entry: 1, Job: 2, Attempt: 1}, Task: "b", Run: 1, OwnerSeen: f.now})
+	f.c.Check(outputs[lease.Start](f), qt.HasLen, 0)
+	f.step(lease.Answer{Call: f.hold.Call, Status: lease.OK, Clock: f.clock(), StartedAtMs: instance.StartedAtMs})
+	f.c.Check(outputs[lease.Start](f), qt.HasLen, 1)
+}
--- a/internal/core/lease/instance_state_test.go
+++ b/internal/core/lease/instance_state_test.go
@@ -13,7 +13,7 @@
 // it leaves, calls in flight.
 func TestNothingOfAnInstanceIsKeptForTheNext(t *testing.T) {
 	at := time.Unix(1000, 0)
-	for _, id := range []string{"i-1", "i-2"} {
+	for _, next := range []Instance{{ID: "i-1", StartedAtMs: 8}, {ID: "i-2", StartedAtMs: 8}} {
 		c := qt.New(t)
 		core := New(Config{})
 		core.lastCall = 20
@@ -27,8 +27,11 @@
 		for _, field := range reflect.VisibleFields(reflect.TypeFor[instanceState]()) {
 			c.Assert(reflect.ValueOf(core.instanceState).FieldByIndex(field.Index).IsZero(), qt.IsFalse, qt.Commentf("%s has no value here", field.Name))
 		}
-		next := Instance{ID: id, StartedAtMs: 8}
-		core.announced(Announced{Instance: next})
+		if next.ID == core.instance.ID {
+			core.restarted(next.StartedAtMs)
+		} else {
+			core.announced(Announced{Instance: next})
+		}
 		c.Check(reflect.DeepEqual(core.instanceState, newInstanceState(next, 20)), qt.IsTrue, qt.Commentf("%+v", core.instanceState))
 		c.Check(core.Ready(), qt.IsFalse)
 	}
