Measure when the soak's own proxies are late

Cause: callers' answers go through proxies in the test's process. The check for pauses of that process sees only whether its timers are late.

Trace (35 x 160, -soak.callers 150 -soak.pause 30ms -soak.seconds 14, -soak.first 9303, load average 150 to 180 on 8 cores): five jobs "have no answer a second after their deadline" at 08:27:50.78 to .88, at entries 3, 19, 20 (two) and 31. All five entries log the end of the job (deadline_exceeded, 9 to 23 ms after the deadline as they count) between 49.29 and 50.33, 0.45 to 1.50 s before. events.log has 7 lines from 49.6 to 50.5 and 128 in the next tenth of a second; no pause is logged after 47.40.

Change: a byte goes through a proxy every 20 ms. While one is under way for more than 200 ms, callers' answers are not due, as during a pause of the process; the summary counts such bytes.

Conclusion: the five answers were late in the test, not in an entry.

--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -97,8 +98,10 @@
 	counts    map[string]int
 	// domainKilledAt is when a failure domain was killed last. Only faults use it.
 	domainKilledAt time.Time
-	// heldUpUntil is the end of the latest pause of this process.
+	// heldUpUntil is the end of the latest pause of this process or of its proxies.
 	heldUpUntil time.Time
+	// byteSentAt is when the byte was sent that is under way through a proxy, zero if none is.
+	byteSentAt time.Time
 
 	stopOnce  sync.Once
 	failureMu sync.Mutex
@@ -155,10 +158,14 @@
 	}
 }
 
-// heldUp returns the end of the latest pause of this process.
+// heldUp returns the end of the latest pause of this process, or the present if its proxies are
+// late.
 func (s *soak) heldUp() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.byteSentAt.IsZero() && time.Since(s.byteSentAt) > maxHeldUp {
+		return time.Now()
+	}
 	return s.heldUpUntil
 }
 
@@ -528,6 +535,7 @@
 	}
 	group.Go(func() { s.sleep(2 * time.Second); s.disturb(rng, faults) })
 	group.Go(s.logEnds)
+	group.Go(s.watchProxies)
 	s.sleep(time.Duration(size.seconds) * time.Second)
 	if size.entries > agentLinks {
 		s.checkLinks(names)
@@ -569,6 +577,44 @@
 	}
 }
 
+// watchProxies sends bytes through a proxy until the run of the test ends, and notices when one
+// takes longer than maxHeldUp to come back: answers of the programs are then late too. With the
+// processors busy, bytes took seconds while logEnds, which waits for no byte, was not held up.
+func (s *soak) watchProxies() {
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	s.must(err)
+	defer echo.Close()
+	go func() {
+		if conn, err := echo.Accept(); err == nil {
+			_, _ = io.Copy(conn, conn)
+		}
+	}()
+	p := startProxy(s, echo.Addr().String())
+	defer p.close()
+	conn, err := net.Dial("tcp", p.address)
+	s.must(err)
+	defer conn.Close()
+	for b := []byte{0}; !s.over(); s.sleep(20 * time.Millisecond) {
+		sent := time.Now()
+		s.locked(func() { s.byteSentAt = sent })
+		if _, err := conn.Write(b); err != nil {
+			return
+		}
+		if _, err := conn.Read(b); err != nil {
+			return
+		}
+		took := time.Since(sent)
+		s.locked(func() {
+			s.byteSentAt = time.Time{}
+			if took > maxHeldUp {
+				s.counts["late bytes"]++
+				s.heldUpUntil = time.Now()
+				s.logf("a byte took %s through a proxy", took)
+			}
+		})
+	}
+}
+
 // leavingMetric is the number of links that the process of an agent has ended by plan.
 var leavingMetric = regexp.MustCompile(`poplarlever_link_messages_total\{direction="sent",kind="leaving"\} (\d+)`)
 
