--- a/internal/core/agent/restarted_test.go
+++ b/internal/core/agent/restarted_test.go
@@ -42,3 +42,13 @@
 		})
 	}
 }
+
+// Guards against tasks of an entry process that go on under a lease when a later process has
+// taken its name: the entry's callers send their jobs again.
+func TestTasksOfReplacedEntryAreStopped(t *testing.T) {
+	f := newLeasedFixture(t)
+	f.occupy(1, 1)
+	f.core.TakeOutputs()
+	f.step(agent.LinkUp{Entry: entry + 100, Name: "e"})
+	f.c.Check(outputs[agent.StopTask](f), qt.DeepEquals, []agent.StopTask{{Attempt: attempt(entry, 1)}})
+}
