Wait for the takeover before a test looks at a restarted worker

TestRestartedWorkerIsUsed failed once beside heavy load (load average about 100 on 8 cores): "other_ID" and "earlier_time_of_day" still counted a running task. Cause: the properties of the two instances are the same, so that the test took the earlier one for the new one when the agent's check took longer than its pause of 20 ms.

--- a/internal/agentd/odd_announcement_test.go
+++ b/internal/agentd/odd_announcement_test.go
@@ -286,6 +286,7 @@
 			f.startTask("t")
 			f.worker.restart(instance)
 			f.announce()
+			f.awaitTakeover()
 			f.c.Check(f.waitUntilInUse(6*time.Second), qt.IsTrue, qt.Commentf("%+v", f.hello()))
 			f.c.Check(f.running(), qt.Equals, 0)
 		})
