Send no start that has been held up since its decision

An agent stands still for 2.6 s between its decision to start a task and the call. Meanwhile the entry takes the attempt as over, its caller sends the job again, and the worker restarts under its ID. The start then reaches the next instance, whose clock has not come to the end that the start names.

The driver looks at the clock just before the call, and answers a later one with NotSent, which proves that the task did not start.

TestStartIsSentWhileTheInstanceIsKnown and TestStartIsNotSentTooLate do not compile without the change. What remains is a pause between the look at the clock and the call, and a call that is carried out late by the next instance.

--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/agent"
 	"github.com/poplarlever/poplarlever/internal/core/lease"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
@@ -86,7 +87,7 @@
 	for _, out := range outputs {
 		switch out := out.(type) {
 		case lease.Start:
-			go d.call(func(ctx context.Context) lease.Answer { return d.worker.Start(ctx, out) })
+			go d.call(func(ctx context.Context) lease.Answer { return sendStart(ctx, d.worker, clock.Now(), out) })
 		case lease.Stop:
 			go d.call(func(ctx context.Context) lease.Answer { return d.worker.Stop(ctx, out) })
 		case lease.Hold:
@@ -145,6 +146,15 @@
 	d.loop.core.Step(now, state)
 }
 
+// sendStart makes the call unless it is too late. This process may have stood still since the
+// lease core decided to start the task.
+func sendStart(ctx context.Context, worker LeasedWorker, now time.Time, s lease.Start) lease.Answer {
+	if now.After(s.SendBy) {
+		return lease.Answer{Call: s.Call, Status: lease.NotSent}
+	}
+	return worker.Start(ctx, s)
+}
+
 // call sends a request to the worker and passes the answer to the lease core. It
 // blocks until the answer.
 func (d *leasedDriver) call(request func(context.Context) lease.Answer) {
--- a/internal/agentd/restarted_worker_test.go
+++ b/internal/agentd/restarted_worker_test.go
@@ -127,3 +127,15 @@
 	f.daemon.Left(lease.Instance{ID: "i", StartedAtMs: 5})
 	f.c.Check(f.hello().Leaving, qt.IsTrue)
 }
+
+// Guards against a start that this process sends after it stood still: the worker may have
+// restarted under its ID meanwhile.
+func TestStartIsNotSentTooLate(t *testing.T) {
+	w, now := &stubWorker{}, time.Unix(1000, 0)
+	for _, late := range []time.Duration{-time.Millisecond, time.Millisecond} {
+		answer := sendStart(t.Context(), w, now, lease.Start{Call: 3, SendBy: now.Add(-late)})
+		qt.Check(t, answer.Call, qt.Equals, uint64(3))
+		qt.Check(t, answer.Status == lease.NotSent, qt.Equals, late > 0)
+	}
+	qt.Check(t, w.starts, qt.Equals, 1)
+}
--- a/internal/agentd/worker_record_test.go
+++ b/internal/agentd/worker_record_test.go
@@ -14,11 +14,15 @@
 	fakestore "github.com/poplarlever/poplarlever/internal/fake/store"
 )
 
-// stubWorker records its address and answers no call.
-type stubWorker struct{ address string }
+// stubWorker records its address, counts starts and answers no call.
+type stubWorker struct {
+	address string
+	starts  int
+}
 
 func (w *stubWorker) SetAddress(address string) { w.address = address }
 func (w *stubWorker) Start(_ context.Context, s lease.Start) lease.Answer {
+	w.starts++
 	return lease.Answer{Call: s.Call, Status: lease.NoAnswer}
 }
 func (w *stubWorker) Stop(_ context.Context, s lease.Stop) lease.Answer {
--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -464,6 +464,10 @@
 		if a.gen != gen && sendingAt.After(a.epoch) {
 			return
 		}
+		if start, ok := out.(lease.Start); ok && w.now.After(start.SendBy) {
+			answer(lease.Answer{Call: number, Status: lease.NotSent})
+			return
+		}
 		result := a.carryOut(out)
 		if hold, ok := out.(lease.Hold); ok && w.bounded != nil {
 			a.answerAtEnd(a.worker, hold, w.now.Add(hold.Wait), result, answer)
--- a/internal/core/lease/confirm_test.go
+++ b/internal/core/lease/confirm_test.go
@@ -71,3 +71,15 @@
 	f.step(lease.Answer{Call: f.hold.Call, Status: lease.OK, Clock: f.clock(), StartedAtMs: instance.StartedAtMs})
 	f.c.Check(outputs[lease.Start](f), qt.HasLen, 1)
 }
+
+// Guards against a start that is sent after the agent stood still, to a worker that has restarted
+// under its ID meanwhile.
+func TestStartIsSentWhileTheInstanceIsKnown(t *testing.T) {
+	f := newFixture(t)
+	confirmed := f.now
+	f.now = f.now.Add(100 * time.Millisecond)
+	start := f.begin()
+	f.c.Check(start.SendBy.Before(confirmed.Add(200*time.Millisecond)), qt.IsTrue, qt.Commentf("%s", start.SendBy.Sub(confirmed)))
+	f.step(lease.Answer{Call: start.Call, Status: lease.NotSent})
+	f.c.Check(onlyOutput[lease.Ended](f).Kind, qt.Equals, msg.ResultNotReached)
+}
--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -103,9 +103,11 @@
 	}
 	delete(c.byCall, in.Call)
 	c.updateClock(in)
-	if in.Status == NoAnswer || in.Status == NotListening {
+	switch in.Status {
+	case NotSent:
+	case NoAnswer, NotListening:
 		c.answers.Unanswered()
-	} else {
+	default:
 		c.answers.Answered(c.now.Sub(waiting.sentAt))
 	}
 	if waiting.isStop {
--- a/internal/core/lease/io.go
+++ b/internal/core/lease/io.go
@@ -83,6 +83,8 @@
 	// carried out, and no process takes calls there. What the worker started may still
 	// run until its lease lapses.
 	NotListening
+	// NotSent means that the driver did not make the call.
+	NotSent
 )
 
 // Answer is the outcome of the call with this number.
@@ -138,7 +140,8 @@
 
 // Start asks the driver to start a task at the worker. The driver answers with
 // Answer, with NoAnswer after Timeout. Until is the new end of the lease, on the worker's
-// clock.
+// clock. After SendBy the driver does not make the call and answers with NotSent: the worker
+// may have restarted under its ID, and would run the task under a lease of its own length.
 type Start struct {
 	Call     uint64
 	Timeout  time.Duration
@@ -148,6 +151,7 @@
 	Payload  []byte
 	Until    time.Duration
 	Fence    uint64
+	SendBy   time.Time
 }
 
 // Stop asks the driver to stop a run at the worker. The driver answers with Answer, with
