Name the slot report that a dispatch was chosen by

Callers may see a task start at a worker of another kind: an entry that is late may dispatch after the worker's new announcement by what it had read before. Its clock is an estimate of the agent's and late enough.

A dispatch now names the newest slot report that the entry has read, and the agent refuses one from before the Hello that told of the present instance and labels. An entry of an earlier version names none; then the clock decides as before.

TestDispatchNamesTheReportRead and TestRoundTripFromEntry guard the entry and the encoding.

--- a/internal/core/agent/endpoint.go
+++ b/internal/core/agent/endpoint.go
@@ -29,9 +29,11 @@
 	leased, ready, settled bool
 	join                   uint64
 	number                 uint64
-	// describedAt is the agent's clock when it learned of the present join and labels. A
-	// dispatch that was sent before was chosen by others.
+	// describedAt is the agent's clock when it learned of the present join and labels, and
+	// describedBy the number of the first slot report since then. A dispatch of an entry that
+	// had not read it was sent for others.
 	describedAt time.Duration
+	describedBy uint64
 	// foreignTasks counts the listed tasks that this agent process did not start.
 	foreignTasks int
 	// abandoned holds attempts of this process that ended without a complete
@@ -74,11 +76,13 @@
 	return advertisedState{e.accepts(), e.service, e.slots, e.connections, e.size, e.leased, e.settled, strings.Join(e.labels, ",")}
 }
 
-// apply stores an announcement that is not stale and came at a reading of the agent's clock.
-func (e *endpointState) apply(self msg.Incarnation, clock time.Duration, in EndpointAnnounced) {
-	if !e.present || in.Join != e.join || !slices.Equal(in.Labels, e.labels) {
-		e.describedAt = clock
-	}
+// describes reports whether an announcement tells another join or other labels than before.
+func (e *endpointState) describes(in EndpointAnnounced) bool {
+	return !e.present || in.Join != e.join || !slices.Equal(in.Labels, e.labels)
+}
+
+// apply stores an announcement that is not stale.
+func (e *endpointState) apply(self msg.Incarnation, in EndpointAnnounced) {
 	if in.Join > e.join {
 		e.left = false
 	}
@@ -120,7 +124,10 @@
 		return
 	}
 	before := c.endpoint.advertised()
-	c.endpoint.apply(c.cfg.Incarnation, c.Clock(now), in)
+	if c.endpoint.describes(in) {
+		c.endpoint.describedAt, c.endpoint.describedBy = c.Clock(now), c.lastReport+1
+	}
+	c.endpoint.apply(c.cfg.Incarnation, in)
 	if before != c.endpoint.advertised() {
 		// Hello also says whether the endpoint is leaving.
 		c.sendHellos(now)
--- a/internal/core/agent/endpoint_state_test.go
+++ b/internal/core/agent/endpoint_state_test.go
@@ -19,7 +19,7 @@
 	core := New(Config{Worker: "w", Incarnation: 1, Epoch: now})
 	core.endpoint = endpointState{
 		present: true, left: true, service: "s", slots: 8, connections: 8, size: msg.Size{Cores: 4}, labels: []string{"a"},
-		leased: true, ready: true, settled: true, join: 1, number: 3, describedAt: time.Second, foreignTasks: 1,
+		leased: true, ready: true, settled: true, join: 1, number: 3, describedAt: time.Second, describedBy: 2, foreignTasks: 1,
 		abandoned: map[msg.AttemptID]int{{}: 1},
 	}
 	for _, field := range reflect.VisibleFields(reflect.TypeFor[endpointState]()) {
--- a/internal/core/agent/leased.go
+++ b/internal/core/agent/leased.go
@@ -30,7 +30,7 @@
 	switch {
 	case c.Clock(now)-d.EchoedClock >= c.cfg.OrphanAfter:
 		return verdict.StartByPassed
-	case d.EchoedClock < c.endpoint.describedAt:
+	case d.EchoedClock < c.endpoint.describedAt, d.Report != 0 && d.Report < c.endpoint.describedBy:
 		return verdict.WrongIncarnation
 	case !d.Size.FitsIn(c.Room()):
 		return verdict.NoSlot
--- a/internal/core/agent/restarted_test.go
+++ b/internal/core/agent/restarted_test.go
@@ -10,8 +10,19 @@
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 )
 
+// lastHello returns the newest Hello to the entry since the last call.
+func lastHello(f *fixture) (hello msg.Hello) {
+	for _, s := range outputs[agent.Send](f) {
+		if h, ok := s.Message.(msg.Hello); ok && s.Entry == entry {
+			hello = h
+		}
+	}
+	return hello
+}
+
 // Guards against a task that starts at a worker of another kind because its dispatch was sent
-// for what the worker was, before a restart or a change of its labels, and arrives after it.
+// for what the worker was, before a restart or a change of its labels: it arrives late, or its
+// entry has read nothing since then.
 func TestDispatchForEarlierDescriptionIsRefused(t *testing.T) {
 	labels := func(join uint64, kind string) agent.EndpointAnnounced {
 		return agent.EndpointAnnounced{Service: "s", Slots: 8, Connections: 64, Size: msg.Size{Cores: 32}, Join: join, Number: 9, Leased: true, Labels: []string{kind}}
@@ -24,20 +35,27 @@
 		t.Run(name, func(t *testing.T) {
 			f := newLeasedFixture(t)
 			f.step(labels(1, "a"))
+			read := lastHello(f).Report.Number
 			f.now = f.now.Add(100 * time.Millisecond)
 			sent := f.core.Clock(f.now)
 			f.now = f.now.Add(100 * time.Millisecond)
 			for _, in := range change {
 				f.step(in)
 			}
-			f.core.TakeOutputs()
-			for job, clock := range []time.Duration{sent, f.core.Clock(f.now)} {
-				d := f.dispatchOf(attempt(entry, uint64(job)))
-				d.Size, d.TaskName, d.EchoedClock = msg.Size{Cores: 1}, "t", clock
-				f.receive(d)
+			told := lastHello(f).Report.Number
+			for job, d := range []struct {
+				clock  time.Duration
+				report uint64
+				starts int
+			}{
+				{sent, 0, 0}, {f.core.Clock(f.now), read, 0}, {f.core.Clock(f.now), 0, 1}, {f.core.Clock(f.now), told, 1},
+			} {
+				m := f.dispatchOf(attempt(entry, uint64(job)))
+				m.Size, m.TaskName, m.EchoedClock, m.Report = msg.Size{Cores: 1}, "t", d.clock, d.report
+				f.receive(m)
 				started, refused := outcomes(f)
-				f.c.Check(len(started), qt.Equals, job)
-				f.c.Check(len(refused), qt.Equals, 1-job)
+				f.c.Check(started, qt.HasLen, d.starts, qt.Commentf("dispatch %d", job))
+				f.c.Check(refused, qt.HasLen, 1-d.starts, qt.Commentf("dispatch %d", job))
 			}
 		})
 	}
--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -91,7 +91,7 @@
 		RunLimit: min(remaining, c.cfg.RunLimit), Service: j.spec.Service,
 		Account: j.spec.Account, Payload: j.spec.Tasks[i].Payload, Acks: w.acks.take(),
 		Claim: c.nextClaim(w), TaskName: j.spec.Tasks[i].Name, Size: a.size, EchoedClock: w.echoClock(), JobType: j.spec.JobType,
-		WaitForRoom: c.waitForRoom(now, j),
+		WaitForRoom: c.waitForRoom(now, j), Report: w.lastReport,
 	})
 	c.emitProgress(j)
 }
--- a/internal/core/entry/leased_test.go
+++ b/internal/core/entry/leased_test.go
@@ -302,3 +302,14 @@
 	plain.end(first[plain.link][0], msg.ResultOK)
 	f.c.Assert(f.dispatched()[labelled.link], qt.HasLen, 1)
 }
+
+// Guards against a dispatch that does not say by which description its worker was chosen: the
+// agent would start it after the worker has become another kind.
+func TestDispatchNamesTheReportRead(t *testing.T) {
+	f := leasedFixture(t)
+	w := f.linkLeased("w1", 32)
+	w.hello(false)
+	f.out = nil
+	f.submitSized("urgent", 3, 1)
+	f.c.Check(f.dispatched()[w.link][0].Report, qt.Equals, w.number)
+}
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -308,6 +308,9 @@
 	// WaitForRoom is how long the attempt may wait at a leased worker that is full. An
 	// agent that does not expect room in that time refuses it at once.
 	WaitForRoom time.Duration
+	// Report is the number of the newest slot report that the entry has read from the agent,
+	// or zero if it is unknown. It shows which Hello the entry has chosen the worker by.
+	Report uint64
 }
 
 // AttemptRef identifies an attempt and gives its latest start, so that the agent
--- a/internal/linkpb/entry.go
+++ b/internal/linkpb/entry.go
@@ -52,7 +52,7 @@
 			Service: d.GetService(), Account: d.GetAccount(), Payload: d.GetPayload(), Seq: d.GetSeq(),
 			Acks: decodeAttempts(d.GetAcks()), Claim: decodeClaim(d.GetClaim()),
 			TaskName: d.GetTaskName(), Size: DecodeSize(d.GetSize()), EchoedClock: time.Duration(d.GetHeardNs()), JobType: d.GetJobType(),
-			WaitForRoom: time.Duration(d.GetWaitForRoomNs()),
+			WaitForRoom: time.Duration(d.GetWaitForRoomNs()), Report: d.GetReport(),
 		}, nil
 	case *pb.EntryMessage_Revoke:
 		return msg.Revoke{Attempts: decodeAttemptRefs(m.Revoke.GetAttempts()), Stop: m.Revoke.GetStop()}, nil
@@ -77,7 +77,7 @@
 		StartByNs: int64(m.StartBy), RunLimitNs: int64(m.RunLimit),
 		Service: m.Service, Account: m.Account, Payload: m.Payload, Seq: m.Seq, Acks: encodeAttempts(m.Acks),
 		Claim: encodeClaim(m.Claim), TaskName: m.TaskName, HeardNs: int64(m.EchoedClock), JobType: m.JobType,
-		WaitForRoomNs: int64(m.WaitForRoom),
+		WaitForRoomNs: int64(m.WaitForRoom), Report: m.Report,
 	}
 	if m.Size != (msg.Size{}) {
 		d.Size = EncodeSize(m.Size)
--- a/internal/linkpb/linkpb_test.go
+++ b/internal/linkpb/linkpb_test.go
@@ -55,7 +55,7 @@
 		msg.Dispatch{
 			Attempt: id, Seq: 1, AgentIncarnation: 2, StartBy: 3, RunLimit: 4,
 			Service: "s", Account: "a", Payload: []byte("p"), Acks: []msg.AttemptID{id},
-			Claim: msg.Claim{Waiting: 5, Unfinished: 6}, TaskName: "t", Size: msg.Size{Cores: 0.5}, EchoedClock: 7, JobType: "quote",
+			Claim: msg.Claim{Waiting: 5, Unfinished: 6}, TaskName: "t", Size: msg.Size{Cores: 0.5}, EchoedClock: 7, JobType: "quote", WaitForRoom: 10, Report: 11,
 		},
 		msg.Revoke{Attempts: refs},
 		msg.Revoke{Attempts: refs, Stop: true},
