Let a late agent start tasks at an idle worker

A start that has waited is now sent if a hold that began after it came was answered, up to 500 ms after that hold, below the gap that counts as a pause.

TestLateAgentStartsTasks failed before.

--- a/internal/core/lease/confirm.go
+++ b/internal/core/lease/confirm.go
@@ -26,7 +26,13 @@
 	return c.unanswered == 0 && c.now.Sub(c.confirmedAt) < confirmTerm
 }
 
-// confirm records that the instance has answered a hold that was sent at the given time.
+// confirmedFor reports whether a start that has waited may be sent: a hold that began after it
+// came was answered.
+func (c *Core) confirmedFor(d delayedStart) bool {
+	return c.unanswered == 0 && c.confirmedCall > d.after && c.now.Sub(c.confirmedAt) < confirmDelay
+}
+
+// confirm records that the instance has answered a hold.
 func (c *Core) confirm(call uint64, sentAt time.Time) {
 	if call > c.confirmedCall {
 		c.confirmedCall, c.confirmedAt = call, sentAt
@@ -44,7 +50,7 @@
 	for _, d := range delayed {
 		reason := c.refusal(d.RunTask)
 		switch {
-		case reason == 0 && c.confirmed():
+		case reason == 0 && (c.confirmed() || c.confirmedFor(d)):
 			c.start(d.RunTask)
 		case reason == 0 && c.now.Sub(d.at) < confirmLimit:
 			c.toStart = append(c.toStart, d)
--- a/internal/core/lease/execution.go
+++ b/internal/core/lease/execution.go
@@ -94,7 +94,7 @@
 	c.byCall[n] = call{execution: e, sentAt: c.now}
 	c.emit(Start{
 		Call: n, Timeout: c.answers.Timeout(), Instance: c.instance, Task: in.Task, Run: in.Run,
-		Payload: in.Payload, Until: c.renewUntil(n), Fence: c.fence, SendBy: c.confirmedAt.Add(confirmTerm),
+		Payload: in.Payload, Until: c.renewUntil(n), Fence: c.fence, SendBy: c.now.Add(confirmTerm),
 	})
 }
 
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -88,9 +88,10 @@
 	// that a task whose end is not proven keeps the lease from being extended.
 	minStartLease = 100 * time.Millisecond
 	// confirmTerm is how long an answer shows which instance runs: a process takes longer to
-	// start again, unless its connections break meanwhile. confirmLimit is how long a start
-	// waits for such an answer.
-	confirmTerm, confirmLimit = 150 * time.Millisecond, 300 * time.Millisecond
+	// start again, unless its connections break meanwhile. A start that has waited for an answer
+	// is sent up to confirmDelay after the hold, so that a process that is late by more than
+	// confirmTerm still starts tasks; confirmLimit is how long a start waits.
+	confirmTerm, confirmDelay, confirmLimit = 150 * time.Millisecond, 500 * time.Millisecond, 600 * time.Millisecond
 )
 
 // answerBounds limit the timeouts of calls, apart from the time that a hold waits at the
