Take over what earlier calls may have done to a worker's lease and ends

A hold that acknowledges ends by the numbers of one instance made a worker that had restarted under its ID forget its own ends, noted as seen: a task that a late start had run to its end counted as aborted and started again. Holds now acknowledge nothing while the worker may have restarted.

A new agent process, and one that takes a restarted worker over, did not know of leases that earlier calls had named or that were granted until the worker saw the new token. A task joined them and ran beyond the time at which its entry may start it elsewhere. The takeover now expects the longest lease, unless the worker has seen no token.

The fixture of the scripted tests answers its first hold with OK: a worker that has seen a token may have such a lease, on which starts with old signs of life are refused. What the tests check is unchanged.

--- a/internal/core/lease/confirm.go
+++ b/internal/core/lease/confirm.go
@@ -39,6 +39,16 @@
 	}
 }
 
+// acknowledged returns the number of the newest end that the next hold acknowledges. It is zero
+// if the worker may have restarted: the numbers of its ends begin anew, and it would forget ends
+// that the core has not seen.
+func (c *Core) acknowledged() uint64 {
+	if c.unanswered > 0 || c.now.Sub(c.confirmedAt) >= ackTerm {
+		return 0
+	}
+	return c.seen
+}
+
 // startConfirmed sends the starts that have waited for the answer to a hold, and refuses those
 // that may not start any more.
 func (c *Core) startConfirmed() {
--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -17,7 +17,7 @@
 		// A hold with a zero token only reads the worker's clock.
 		c.sendHold(Hold{})
 	case clearing:
-		c.sendHold(Hold{Fence: c.fence, Seen: c.seen})
+		c.sendHold(Hold{Fence: c.fence, Seen: c.acknowledged()})
 	case held:
 		c.holdSteadyState()
 	}
@@ -31,9 +31,9 @@
 	case c.unanswered > 0, c.leaving, len(c.byName) == 0:
 		// The lease of a worker that does not answer is not extended: once it has lapsed,
 		// nothing runs there.
-		c.sendHold(Hold{Fence: c.fence, Seen: c.seen})
+		c.sendHold(Hold{Fence: c.fence, Seen: c.acknowledged()})
 	default:
-		c.sendHold(Hold{Fence: c.fence, Seen: c.seen, Until: c.renewUntil(c.lastCall + 1), Wait: c.holdWait()})
+		c.sendHold(Hold{Fence: c.fence, Seen: c.acknowledged(), Until: c.renewUntil(c.lastCall + 1), Wait: c.holdWait()})
 	}
 }
 
@@ -64,7 +64,7 @@
 	}
 	if needed {
 		c.queryCall, c.querySentAt = c.nextCall(), c.now
-		c.emit(Hold{Call: c.queryCall, Timeout: c.answers.Timeout(), Instance: c.instance, Fence: c.fence, Seen: c.seen})
+		c.emit(Hold{Call: c.queryCall, Timeout: c.answers.Timeout(), Instance: c.instance, Fence: c.fence, Seen: c.acknowledged()})
 	}
 }
 
@@ -156,6 +156,8 @@
 	}
 	switch c.phase {
 	case readingClock:
+		// The calls of another process that brought a token may have named the end of a lease.
+		c.leaseUnknown = c.leaseUnknown || in.Status == Fenced
 		c.raiseFence()
 		c.phase = clearing
 	case clearing:
@@ -199,10 +201,15 @@
 // clearUnowned stops what earlier agents started, until nothing of it runs.
 func (c *Core) clearUnowned(in Answer) {
 	if in.Status == Fenced {
-		c.phase, c.fenceStep = readingClock, max(1, 2*c.fenceStep)
+		c.phase, c.fenceStep, c.leaseUnknown = readingClock, max(1, 2*c.fenceStep), true
 		return
 	}
 	c.fenceStep = 0
+	if end := c.now.Add(c.cfg.MaxTerm); c.leaseUnknown && end.After(c.promisedEnd) {
+		// From here on, the worker refuses calls with lower tokens.
+		c.promisedEnd = end
+	}
+	c.leaseUnknown = false
 	c.applyLists(in)
 	if len(c.unowned) == 0 {
 		c.phase = held
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -92,6 +92,10 @@
 	// is sent up to confirmDelay after the hold, so that a process that is late by more than
 	// confirmTerm still starts tasks; confirmLimit is how long a start waits.
 	confirmTerm, confirmDelay, confirmLimit = 150 * time.Millisecond, 500 * time.Millisecond, 600 * time.Millisecond
+	// ackTerm is how long after it was sent an answered hold lets later ones acknowledge ends.
+	// While tasks run, a hold is always under way and fails when the worker crashes, so that
+	// only a pause of this process hides a restart. A slow process still acknowledges ends.
+	ackTerm = 500 * time.Millisecond
 )
 
 // answerBounds limit the timeouts of calls, apart from the time that a hold waits at the
@@ -122,6 +126,10 @@
 	// promisedEnd is the furthest end of the lease that was ever sent. A restarted worker may
 	// carry out what was sent to its earlier instance.
 	promisedEnd time.Time
+	// leaseUnknown is set while the worker may have a lease that ends after promisedEnd, or get
+	// one until it has seen the present token: from calls of another agent process, or from
+	// calls that were meant for an earlier instance.
+	leaseUnknown bool
 	// answers follows the answer times of starts and stops, and the loss of all answers.
 	answers  roundtrip.Estimator
 	lastCall uint64
@@ -357,6 +365,7 @@
 		// lease: an end on the earlier instance's clock is far ahead on its own.
 		c.promisedEnd = end
 	}
+	c.leaseUnknown = c.leaseUnknown || !c.renewalConfirmed()
 	c.instanceState = newInstanceState(Instance{ID: c.instance.ID, StartedAtMs: startedAtMs}, c.lastCall)
 	for _, e := range c.byName {
 		e.workerRestarted(c.lastCall)
