Wait for the clock of a worker before tasks start there

A worker that had just restarted and answered the takeover with a clock of zero got leases that were named centuries ahead, and cut them to its longest, while the agent expected a shorter one.

--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -211,7 +211,8 @@
 	}
 	c.leaseUnknown = false
 	c.applyLists(in)
-	if len(c.unowned) == 0 {
+	// Within the first millisecond of a worker its clock reads zero, which tells nothing.
+	if len(c.unowned) == 0 && !c.clockAt.IsZero() {
 		c.phase = held
 		c.emit(StateChanged{})
 		return
