Recognise a worker's record after a lost answer

The version of a write whose answer was lost stayed unknown, so that the record counted as that of another process: an instance whose time of day was set back never replaced it.

--- a/internal/agentd/worker_record.go
+++ b/internal/agentd/worker_record.go
@@ -48,6 +48,8 @@
 	// version is the version of the record that this process has read at its start or written
 	// last. What the worker has said since replaces it, whatever its start time and number are.
 	version uint64
+	// sent is the announcement in the latest write, whose answer may have been lost.
+	sent    WorkerAnnouncement
 	changed chan struct{}
 }
 
@@ -171,19 +173,23 @@
 // process of the worker may have written it since this one started.
 func (k *recordKeeper) write(ctx context.Context) error {
 	k.mu.Lock()
-	wanted, known := k.wanted, k.version
+	wanted, known, sent := k.wanted, k.version, k.sent
 	k.mu.Unlock()
 	stored, version, err := k.get(ctx)
 	if err != nil && !store.IsNotFound(err) {
 		return err
 	}
-	if wanted.sameRecord(stored) || !wanted.replaces(stored, version == known) {
+	own := version == known || version != 0 && stored.sameRecord(sent)
+	if wanted.sameRecord(stored) || !wanted.replaces(stored, own) {
 		return nil
 	}
 	value, err := json.Marshal(wanted)
 	if err != nil {
 		return err
 	}
+	k.mu.Lock()
+	k.sent = wanted
+	k.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	version, err = k.store.CompareAndSwap(ctx, k.key, version, value, 0)
--- a/internal/agentd/worker_record_test.go
+++ b/internal/agentd/worker_record_test.go
@@ -150,3 +150,27 @@
 	}
 	c.Check(asked, qt.IsTrue)
 }
+
+// Guards against a record of a former life that stays for good: the answer to a write was lost,
+// so that the next instance, whose time of day was set back, counts as older than a record that
+// this process wrote itself.
+func TestRecordFollowsAfterLostAnswer(t *testing.T) {
+	for _, retried := range []bool{false, true} {
+		c := qt.New(t)
+		s := fakestore.New(fakestore.Rates{Reads: 1000, Writes: 1000})
+		k := newRecordKeeper(s, "w", "s", zap.NewNop())
+		s.SetFaults(fakestore.Faults{LoseAnswers: 1})
+		k.announced(announcementOf(5, 1, false))
+		c.Assert(k.write(t.Context()), qt.IsNotNil)
+		if retried {
+			c.Assert(k.write(t.Context()), qt.IsNil)
+		}
+		next := announcementOf(3, 1, false)
+		next.Labels = []string{"b"}
+		k.announced(next)
+		c.Assert(k.write(t.Context()), qt.IsNil)
+		a, found := newRecordKeeper(s, "w", "s", zap.NewNop()).read(t.Context())
+		c.Check(found, qt.IsTrue)
+		c.Check(a, qt.DeepEquals, next, qt.Commentf("first write repeated: %v", retried))
+	}
+}
