Play late calls of before a takeover

A late call now reaches the next instance or comes from a dead agent once an agent has taken the worker over; its token must then be too low, and a call that is carried out is a failure.

--- a/internal/core/coretest/leased_checks_test.go
+++ b/internal/core/coretest/leased_checks_test.go
@@ -129,17 +129,25 @@
 }
 
 // lateCall returns a function that lets the worker carry out a call later. Unless lateAcross is
-// set, only the instance that the call is meant for does so.
+// set, an instance that the call is not meant for carries it out only once an agent has taken the
+// instance over: then the fencing token of a call of another agent process, or to another
+// instance, must be too low.
 func (b *boundedLinks) lateCall(a *leasedAgent, out lease.Output) func() {
 	if b.w.now.Before(a.workerDownUntil) {
 		// The connection is refused.
 		return func() {}
 	}
-	receiver := a.worker
+	receiver, gen := a.worker, a.gen
 	instance := instanceOf(out)
 	return func() {
-		if a.worker == receiver && receiver.Instance == instance || b.lateAcross {
-			b.carryOut(a, out)
+		takenOver := a.lease.Settled() && a.driver.present.instance == a.worker.Instance
+		meant := a.worker == receiver && receiver.Instance == instance
+		if !meant && !takenOver && !b.lateAcross {
+			return
+		}
+		answer := b.carryOut(a, out)
+		if takenOver && (a.gen != gen || a.worker.Instance != instance) && answer.Status == lease.OK {
+			b.failf("call of before a takeover", "%s carries out %T%+v", a.name, out, out)
 		}
 	}
 }
--- a/internal/core/coretest/leased_links_test.go
+++ b/internal/core/coretest/leased_links_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +21,11 @@
 	linksLate  = flag.Bool("links.late", false, "let instances carry out late calls that were meant for earlier ones (GAP_LAPSE and GAP_RELEASE in spec/README.md)")
 )
 
+// linksKept holds seeds that failed on earlier code: tasks ran under the lease of a restarted
+// worker that ended later than the agent had named on the clock of the former instance (113, 230),
+// and under a start that was held up between its decision and the call (801).
+var linksKept = []uint64{113, 230, 801}
+
 const (
 	boundedEntries = 5
 	boundedWorkers = 6
@@ -369,7 +375,14 @@
 // to some of the entries only and the set changes, workers restart under their ID or another one,
 // agents and entries are replaced, and callers come back at entries that do not know the worker.
 func TestLeasedTasksRunAtOneWorkerWithBoundedLinks(t *testing.T) {
+	var seeds []uint64
 	for seed := *linksFirst; seed < *linksFirst+*linksSeeds; seed++ {
+		seeds = append(seeds, seed)
+	}
+	if *linksFirst == 0 && *linksSeeds <= slices.Min(linksKept) {
+		seeds = append(seeds, linksKept...)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			w, b := newBoundedWorld(qt.New(t), seed)
--- a/internal/core/coretest/leased_newer_test.go
+++ b/internal/core/coretest/leased_newer_test.go
@@ -259,7 +259,7 @@
 			late := a.lateCall(out)
 			known := a.worker.Instance == out.Instance
 			w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(10*time.Second))), func() {
-				if known || n.lateAcrossRestarts {
+				if known || n.lateAcrossRestarts || w.bounded != nil {
 					late()
 				}
 			})
