--- a/internal/core/lease/restart_lease_test.go
+++ b/internal/core/lease/restart_lease_test.go
@@ -45,14 +45,7 @@
 		f.now = f.now.Add(time.Millisecond)
 		f.holdAt(w)
 	}
-	const age = 600 * time.Millisecond
-	f.step(lease.RunTask{Attempt: attempt, Task: "a", Run: 1, OwnerSeen: f.now.Add(-age)})
-	for _, s := range outputs[lease.Start](f) {
-		f.c.Assert(w.Start(f.now, s).Status, qt.Equals, lease.OK)
-	}
-	limit := f.now.Add(lease.ReleaseAfter(lease.Config{}) - age)
-	f.c.Check(w.Running(limit)["a"], qt.Equals, uint32(0), qt.Commentf(
-		"the entry may start the task elsewhere at %s, the lease ends at %s of the worker's clock", w.Clock(limit), w.LeaseEnd()))
+	f.checkJoins(w, 600*time.Millisecond)
 }
 
 // Guards against an attempt that counts as ended with its lease while it runs: a start that
