--- a/internal/core/lease/confirm.go
+++ b/internal/core/lease/confirm.go
@@ -13,9 +13,10 @@
 // process was paused, would run tasks that were sent there for what it was before, under a lease
 // on its former clock. So a start waits for the answer to a hold, unless there is a recent one.
 
-// delayedStart is a start that came at a time, after the call with a number.
+// delayedStart is a start that waits for the answer to a hold.
 type delayedStart struct {
 	RunTask
+	// at is when it came; after is the newest call that had been sent by then.
 	at    time.Time
 	after uint64
 }
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -181,8 +181,8 @@
 	// answered confirmedCall, a hold that was sent at confirmedAt, and none that is newer.
 	holdSentAt, querySentAt, confirmedAt time.Time
 	confirmedCall                        uint64
-	// renewedAt is when the newest call that names an end of the lease was sent. An answer to
-	// renewalCall or to a later one shows that it was sent to the instance that answers.
+	// renewalCall is the newest call that names an end of the lease, sent at renewedAt. An answer
+	// to it or to a later hold shows that no other instance has carried it out.
 	renewedAt   time.Time
 	renewalCall uint64
 	// toStart holds the starts that wait until the instance has answered a hold.
