--- a/internal/processtest/soak_proxy_test.go
+++ b/internal/processtest/soak_proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -267,3 +268,41 @@
 		time.Sleep(min(until.Sub(now), 5*time.Millisecond))
 	}
 }
+
+// watchProxies sends bytes through a proxy until the run of the test ends, and notices when one
+// takes longer than maxHeldUp to come back: answers of the programs are then late too. With the
+// processors busy, bytes took seconds while logEnds, which waits for no byte, was not held up.
+func (s *soak) watchProxies() {
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	s.must(err)
+	defer echo.Close()
+	go func() {
+		if conn, err := echo.Accept(); err == nil {
+			_, _ = io.Copy(conn, conn)
+		}
+	}()
+	p := startProxy(s, echo.Addr().String())
+	defer p.close()
+	conn, err := net.Dial("tcp", p.address)
+	s.must(err)
+	defer conn.Close()
+	for b := []byte{0}; !s.over(); s.sleep(20 * time.Millisecond) {
+		sent := time.Now()
+		s.locked(func() { s.byteSentAt = sent })
+		if _, err := conn.Write(b); err != nil {
+			return
+		}
+		if _, err := conn.Read(b); err != nil {
+			return
+		}
+		took := time.Since(sent)
+		s.locked(func() {
+			s.byteSentAt = time.Time{}
+			if took > maxHeldUp {
+				s.counts["late bytes"]++
+				s.heldUpUntil = time.Now()
+				s.logf("a byte took %s through a proxy", took)
+			}
+		})
+	}
+}
