--- a/internal/agentd/restarted_worker_test.go
+++ b/internal/agentd/restarted_worker_test.go
@@ -30,9 +30,9 @@
 	}
 }
 
-// Guards against a worker that gets tasks by what it was in an earlier life: an answer tells of
-// the restart under its ID before the worker has announced itself, perhaps as another kind. The
-// earlier life's properties must not reach entries, before or after a restart of the agent, while
+// Guards against a worker that gets tasks by what an earlier instance was: an answer tells of the
+// restart under its ID before the worker has announced itself, perhaps as another kind. The earlier
+// instance's properties must not reach entries, before or after a restart of the agent, while
 // its attempts are resolved.
 func TestRestartedWorkerWaitsForItsAnnouncement(t *testing.T) {
 	s := fakestore.New(fakestore.Rates{Reads: 1000, Writes: 1000})
