--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -177,9 +177,11 @@
 
 // system is a small deployment.
 type system struct {
-	store   *store
-	entries []*entryNode
-	agents  []*agentNode
+	store *store
+	// storeLinks is between the store and all processes.
+	storeLinks *proxy
+	entries    []*entryNode
+	agents     []*agentNode
 }
 
 type entryNode struct {
@@ -201,6 +203,7 @@
 // until the entries are ready.
 func newSystem(entries, agents int, configuration []byte) *system {
 	s := &system{store: newStore()}
+	s.storeLinks = newProxy(s.store.address)
 	s.store.put("op/config", configuration)
 	zones := []string{"casa-ain", "casa-sidi", "rabat-agdal"}
 	var seeds []string
@@ -215,7 +218,7 @@
 		name := fmt.Sprintf("front-%d", i+1)
 		e.process = prepare("entry", name, map[string]string{
 			"node": name, "zone": e.zone, "listen.control": e.control, "listen.front": e.callers, "listen.ready": e.ready,
-			"platform.address": s.store.address, "limits.memoryMb": "284",
+			"platform.address": s.storeLinks.address, "limits.memoryMb": "284",
 		}, seeds)
 		e.advertise(e.links.address)
 		e.start()
@@ -224,7 +227,7 @@
 		name := fmt.Sprintf("side-%d", i+1)
 		a := &agentNode{control: freeAddress()}
 		a.process = prepare("agent", name, map[string]string{
-			"node": name, "zone": zones[i%len(zones)], "listen.control": a.control, "platform.address": s.store.address, "service": serviceName,
+			"node": name, "zone": zones[i%len(zones)], "listen.control": a.control, "platform.address": s.storeLinks.address, "service": serviceName,
 		}, seeds)
 		a.start()
 		a.worker = newWorker("i-"+name, a.control, serviceName, zones[i%len(zones)], "a", fmt.Sprintf("r1-%d", i/3))
