--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -165,14 +166,27 @@
 	<-p.ended
 }
 
-// freeAddress returns a loopback address whose port is free.
+// usedPorts holds the ports that freeAddress has returned.
+var usedPorts = make(map[int]bool)
+
+// freeAddress returns a loopback address whose port is free. The port lies below those that
+// the system gives to outgoing connections, one of which could take it before it is used.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		stopRun("%v", err)
+	for range 1000 {
+		port := 15000 + rand.IntN(17000)
+		if usedPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		usedPorts[port] = true
+		return l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String()
+	stopRun("no free port")
+	return ""
 }
 
 // system is a small deployment.
--- a/review/standins-2/proxy.go
+++ b/review/standins-2/proxy.go
@@ -18,6 +18,7 @@
 // silent as behind a partition.
 type proxy struct {
 	address, target string
+	port            int
 
 	mu     sync.Mutex
 	links  map[*proxyLink]bool
@@ -37,7 +38,7 @@
 	if err != nil {
 		stopRun("a proxy cannot listen: %v", err)
 	}
-	p := &proxy{address: l.Addr().String(), target: target, links: make(map[*proxyLink]bool)}
+	p := &proxy{address: l.Addr().String(), port: l.Addr().(*net.TCPAddr).Port, target: target, links: make(map[*proxyLink]bool)}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -71,7 +72,7 @@
 }
 
 func (p *proxy) cuts(l *proxyLink) bool {
-	return p.cutAll || p.cutOwner != nil && ownsPort(p.cutOwner, l.port)
+	return p.cutAll || p.cutOwner != nil && ownsPort(p.cutOwner, l.port, p.port)
 }
 
 func (p *proxy) serve(c net.Conn) {
@@ -135,16 +136,18 @@
 	}
 }
 
-// ownsPort reports whether the process has a connection whose own port is the given one.
-func ownsPort(p *process, port int) bool {
+// ownsPort reports whether the process has a connection from the port to that of a proxy.
+func ownsPort(p *process, port, proxyPort int) bool {
 	f, err := os.Open("/proc/net/tcp")
 	if err != nil {
 		stopRun("%v", err)
 	}
 	defer f.Close()
-	inode, own := "", fmt.Sprintf(":%04X", port)
+	// A port may stand in several rows: a closed connection to another address has no inode.
+	inode, own, peer := "", fmt.Sprintf(":%04X", port), fmt.Sprintf(":%04X", proxyPort)
 	for s := bufio.NewScanner(f); s.Scan(); {
-		if fields := strings.Fields(s.Text()); len(fields) > 9 && strings.HasSuffix(fields[1], own) {
+		fields := strings.Fields(s.Text())
+		if len(fields) > 9 && strings.HasSuffix(fields[1], own) && strings.HasSuffix(fields[2], peer) && fields[9] != "0" {
 			inode = fields[9]
 		}
 	}
