--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -14,8 +14,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,7 +41,7 @@
 	trouble = os.Getenv("TROUBLE") != "0"
 )
 
-// record writes a line to record.txt.
+// record writes a line to the record of the run.
 func record(format string, args ...any) {
 	recordMu.Lock()
 	defer recordMu.Unlock()
@@ -303,11 +305,13 @@
 var cases = map[string]func(){}
 
 func main() {
+	// The processes end with the thread that started them.
+	runtime.LockOSThread()
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: review-2 CASE FOLDER")
+		fmt.Println("usage: review-2 CASE RECORD")
 		os.Exit(exitNotRun)
 	}
-	out, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	out, err := os.Create(os.Args[2])
 	if err != nil {
 		fmt.Println(err)
 		os.Exit(exitNotRun)
@@ -316,6 +320,9 @@
 	if temporary, err = os.MkdirTemp("", "review-2-"); err != nil {
 		stopRun("%v", err)
 	}
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	go func() { stopRun("stopped by %v", <-stopped) }()
 	time.AfterFunc(110*time.Second, func() { stopRun("the case takes too long") })
 	cases[os.Args[1]]()
 	stopRun("the case has no verdict")
