--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/objective"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
@@ -100,6 +101,10 @@
 
 func (c *Core) submit(now time.Time, spec Job) {
 	spec.Deadline = c.deadline(now, spec)
+	for i := range spec.Tasks {
+		// Multiples of a run time are calculated with.
+		spec.Tasks[i].DeclaredRunTime = min(spec.Tasks[i].DeclaredRunTime, objective.MaxTime)
+	}
 	if answer, refused := c.admit(now, spec); refused {
 		c.emit(Answered{Job: spec.ID, Answer: answer})
 		return
--- a/internal/core/entry/slowdown_test.go
+++ b/internal/core/entry/slowdown_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -115,6 +116,25 @@
 	f.c.Check(again, qt.HasLen, 1)
 }
 
+// Guards against a task that is stopped after 60 ms as overdue, and a worker that counts as
+// hanging, because a multiple of the declared run time overflows.
+func TestLongestDeclaredRunTimeIsNotOverdue(t *testing.T) {
+	f := newSlowdownFixture(t)
+	for id := range uint64(12) {
+		f.step(entry.Submit{Job: entry.Job{
+			ID: 100 + id, Service: "s", JobType: "patient", Account: "a", Deadline: f.now.Add(time.Minute),
+			Tasks: []entry.Task{{DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: math.MaxInt64}},
+		}})
+	}
+	f.c.Assert(f.dispatched(), qt.HasLen, 4)
+	f.advance(300 * time.Millisecond)
+	for _, out := range f.out {
+		_, judged := out.(entry.WorkerJudged)
+		f.c.Check(judged, qt.IsFalse)
+	}
+	f.c.Check(take[msg.Revoke](f.fixture), qt.HasLen, 0)
+}
+
 // Plays a worker that hangs with tasks of several jobs of one task each, so that no job
 // has other tasks to compare with: all of them, the first as well, have to start elsewhere
 // soon after a few times their declared run time (100 ms).
--- a/internal/core/objective/objective.go
+++ b/internal/core/objective/objective.go
@@ -3,8 +3,8 @@
 // still of use, and whether it can end before its entry stops.
 //
 // It is made for jobs whose declared run times are wrong by half and more, so each time
-// leaves room for a longer run. Figures of the table that make no sense (a factor below
-// one, a negative target) count as the nearest that do.
+// leaves room for a longer run. Figures that make no sense (a factor below one, a negative
+// target) count as the nearest that do, and times above MaxTime as MaxTime.
 //
 // The package does no I/O and reads no clock.
 package objective
@@ -25,6 +25,10 @@
 	answerTime = 200 * time.Millisecond
 )
 
+// MaxTime is the longest time that is calculated with. Sums and small multiples of it are
+// within the range of a Duration.
+const MaxTime = 10 * 365 * 24 * time.Hour
+
 // Objective is the response objective of a job: callers want the answer within Factor
 // times the run time of the longest task, plus Target. A zero Target means that there is
 // none.
@@ -40,12 +44,19 @@
 
 // Wanted returns the time from a job's arrival within which callers want the answer.
 func (o Objective) Wanted() time.Duration {
-	return time.Duration(max(1, o.Factor)*float64(max(0, o.Longest))) + max(0, o.Target)
+	run := max(1, o.Factor) * float64(o.longest())
+	if !(run < float64(MaxTime)) {
+		return MaxTime
+	}
+	return min(MaxTime, time.Duration(run)+min(MaxTime, max(0, o.Target)))
 }
 
+// longest returns the run time of the longest task that is calculated with.
+func (o Objective) longest() time.Duration { return min(MaxTime, max(0, o.Longest)) }
+
 // LatestStart returns how long after its arrival the job may start and meet the objective.
 func (o Objective) LatestStart() time.Duration {
-	return max(minWait, time.Duration(slackShare*float64(o.Wanted()-max(0, o.Longest))))
+	return max(minWait, time.Duration(slackShare*float64(o.Wanted()-o.longest())))
 }
 
 // LatestUsefulStart returns how long after its arrival the job may start and still be
--- a/internal/core/objective/objective_test.go
+++ b/internal/core/objective/objective_test.go
@@ -1,6 +1,7 @@
 package objective_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -51,3 +52,26 @@
 	}
 	c.Check(objective.Objective{Target: 60 * ms}.EndsWithin(time.Hour), qt.IsFalse)
 }
+
+// Guards against times that overflow: a target or an estimate of centuries, or a factor
+// beyond all use, made the wanted time negative, and a job of it was refused on arrival.
+func TestTimesDoNotOverflow(t *testing.T) {
+	durations := []time.Duration{math.MinInt64, -1, 0, 1, 48 * time.Hour, objective.MaxTime, math.MaxInt64 / 3, math.MaxInt64 - 1, math.MaxInt64}
+	factors := []float64{math.Inf(-1), -1, 0, math.SmallestNonzeroFloat64, 1, 1.6, 1e18, math.MaxFloat64, math.Inf(1), math.NaN()}
+	for _, target := range durations {
+		for _, longest := range durations {
+			for _, factor := range factors {
+				c := qt.New(t)
+				o := objective.Objective{Target: target, Factor: factor, Longest: longest}
+				about := qt.Commentf("%+v", o)
+				c.Check(o.Wanted() >= min(max(target, longest, 0), objective.MaxTime), qt.IsTrue, about)
+				c.Check(o.Wanted() <= objective.MaxTime, qt.IsTrue, about)
+				c.Check(o.LatestStart() > 0, qt.IsTrue, about)
+				for _, patience := range durations {
+					c.Check(o.LatestUsefulStart(patience) >= o.LatestStart(), qt.IsTrue, about)
+				}
+				c.Check(o.EndsWithin(time.Second), qt.Equals, longest > 0 && o.Wanted() <= 800*ms, about)
+			}
+		}
+	}
+}
