--- a/internal/core/table/column.go
+++ b/internal/core/table/column.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"math"
 	"regexp"
 	"strconv"
 	"strings"
@@ -43,7 +44,7 @@
 	ColumnResponseFactor  = "response_factor"
 )
 
-// Bounds of the values that a cell may hold.
+// Bounds of the values that operators may write.
 const (
 	maxCount    = 1_000_000
 	maxWeight   = 1_000_000
@@ -69,35 +70,38 @@
 	// Optional columns may be missing from a file, and are written only when a row
 	// uses them.
 	Optional bool
-	// canonical returns the canonical form of a value, or false when the value is
-	// not allowed.
+	// canonical returns the canonical form of a value, or false when operators may not
+	// write the value.
 	canonical func(string) (string, bool)
+	// stored returns the canonical form of what a stored value means to this program, which
+	// may be one that operators may not write.
+	stored func(string) (string, reading)
 }
 
 // Columns lists the columns in the order in which they are written.
 var Columns = append(requiredColumns, optionalColumns...)
 
 var optionalColumns = []Column{
-	{ColumnHost, "host of the requests that are jobs of this type", "host name", []Kind{Job}, true, canonicalHost},
-	{ColumnPathPrefix, "prefix of their paths; the longest one at a host wins", "path that begins with /", []Kind{Job}, true, canonicalPath},
-	{ColumnPriority, "order of job types, the smallest first; 0 when empty", "whole number from 0 to 1000", []Kind{Job}, true, countBetween(0, maxPriority)},
-	{ColumnMaxAttempts, "how often a task may fail before its job does; a task never starts twice when empty", "whole number from 1 to 1000", []Kind{Job}, true, countUpTo(maxAttempts)},
-	{ColumnResponseTarget, "time in which callers want the answer, beyond response_factor times the longest task; none when empty", "duration such as 60ms or 2s, at most 24h", []Kind{Job}, true, canonicalDuration},
-	{ColumnResponseFactor, "see response_target; 1 when empty", "number from 0.001 to 1000", []Kind{Job}, true, numberUpTo(maxFactor)},
+	{ColumnHost, "host of the requests that are jobs of this type", "host name", []Kind{Job}, true, canonicalHost, storedHost},
+	{ColumnPathPrefix, "prefix of their paths; the longest one at a host wins", "path that begins with /", []Kind{Job}, true, canonicalPath, storedPath},
+	{ColumnPriority, "order of job types, the smallest first; 0 when empty", "whole number from 0 to 1000", []Kind{Job}, true, countBetween(0, maxPriority), storedCount(-maxStoredCount)},
+	{ColumnMaxAttempts, "how often a task may fail before its job does; a task never starts twice when empty", "whole number from 1 to 1000", []Kind{Job}, true, countUpTo(maxAttempts), storedCount(1)},
+	{ColumnResponseTarget, "time in which callers want the answer, beyond response_factor times the longest task; none when empty", "duration such as 60ms or 2s, at most 24h", []Kind{Job}, true, canonicalDuration, storedDuration},
+	{ColumnResponseFactor, "see response_target; 1 when empty", "number from 0.001 to 1000", []Kind{Job}, true, numberUpTo(maxFactor), storedNumber(0, math.MaxFloat64)},
 }
 
 var requiredColumns = []Column{
-	{ColumnKind, "what the row describes", "service, job or account", []Kind{Service, Job, Account}, false, canonicalKind},
-	{ColumnName, "name of the service, job or client account", allowedName, []Kind{Service, Job, Account}, false, canonicalName},
-	{ColumnService, "service that may submit the job", "name of a service row", []Kind{Job}, false, canonicalName},
-	{ColumnWeight, "share of capacity against other accounts; 1 when empty", "number from 0.001 to 1000000", []Kind{Account}, false, numberUpTo(maxWeight)},
-	{ColumnMaxRunning, "most tasks that run at once; no limit when empty", allowedCount, []Kind{Account}, false, countUpTo(maxCount)},
-	{ColumnMaxQueued, "most tasks that wait; no limit when empty", allowedCount, []Kind{Account}, false, countUpTo(maxCount)},
-	{ColumnTasksPerSecond, "reserved for a quota that no process enforces yet; must be empty", "nothing", nil, false, numberUpTo(maxCount)},
-	{ColumnMaxTasks, "largest job; 1000 tasks when empty", "whole number from 1 to 1000", []Kind{Job}, false, countUpTo(maxJobTasks)},
-	{ColumnMaxPayload, "largest payload of a task, in bytes; the service's or the entry's limit when empty", "whole number from 1 to 1048576", []Kind{Service, Job}, false, countUpTo(maxPayload)},
-	{ColumnDefaultDeadline, "deadline of a job that names none; the service's or the entry's when empty", "duration such as 500ms, 30s or 5m, at most 24h", []Kind{Service, Job}, false, canonicalDuration},
-	{ColumnTokenSHA256, "SHA-256 of the account's token; without it the account is refused unless authentication is off", "64 hexadecimal digits", []Kind{Account}, false, canonicalHash},
+	{ColumnKind, "what the row describes", "service, job or account", []Kind{Service, Job, Account}, false, canonicalKind, storedText},
+	{ColumnName, "name of the service, job or client account", allowedName, []Kind{Service, Job, Account}, false, canonicalName, storedText},
+	{ColumnService, "service that may submit the job", "name of a service row", []Kind{Job}, false, canonicalName, storedText},
+	{ColumnWeight, "share of capacity against other accounts; 1 when empty", "number from 0.001 to 1000000", []Kind{Account}, false, numberUpTo(maxWeight), storedNumber(minStoredWeight, maxStoredWeight)},
+	{ColumnMaxRunning, "most tasks that run at once; no limit when empty", allowedCount, []Kind{Account}, false, countUpTo(maxCount), storedCount(1)},
+	{ColumnMaxQueued, "most tasks that wait; no limit when empty", allowedCount, []Kind{Account}, false, countUpTo(maxCount), storedCount(1)},
+	{ColumnTasksPerSecond, "reserved for a quota that no process enforces yet; must be empty", "nothing", nil, false, numberUpTo(maxCount), storedText},
+	{ColumnMaxTasks, "largest job; 1000 tasks when empty", "whole number from 1 to 1000", []Kind{Job}, false, countUpTo(maxJobTasks), storedCount(1)},
+	{ColumnMaxPayload, "largest payload of a task, in bytes; the service's or the entry's limit when empty", "whole number from 1 to 1048576", []Kind{Service, Job}, false, countUpTo(maxPayload), storedCount(1)},
+	{ColumnDefaultDeadline, "deadline of a job that names none; the service's or the entry's when empty", "duration such as 500ms, 30s or 5m, at most 24h", []Kind{Service, Job}, false, canonicalDuration, storedDuration},
+	{ColumnTokenSHA256, "SHA-256 of the account's token; without it the account is refused unless authentication is off", "64 hexadecimal digits", []Kind{Account}, false, canonicalHash, storedHash},
 }
 
 const (
--- a/internal/core/table/csv.go
+++ b/internal/core/table/csv.go
@@ -31,19 +31,28 @@
 
 // Encode returns the table as CSV with columns and rows in a fixed order.
 func Encode(t Table) []byte {
+	rows := make([]Row, 0, t.Len())
+	for _, k := range t.Keys() {
+		rows = append(rows, Row{Key: k, Cells: t.rows[k]})
+	}
+	return EncodeRows(rows)
+}
+
+// EncodeRows returns the rows as CSV in their order, whatever their keys and cells are.
+func EncodeRows(rows []Row) []byte {
 	var b bytes.Buffer
 	w := csv.NewWriter(&b)
-	columns := t.usedColumns()
+	columns := usedColumns(rows)
 	record := make([]string, len(columns))
 	for i, c := range columns {
 		record[i] = c.Name
 	}
 	_ = w.Write(record)
-	for _, k := range t.Keys() {
+	for _, r := range rows {
 		for i, c := range columns {
-			record[i] = t.rows[k][c.Name]
+			record[i] = r.Cells[c.Name]
 		}
-		record[0], record[1], record[2] = string(k.Kind), k.Name, k.Service
+		record[0], record[1], record[2] = string(r.Key.Kind), r.Key.Name, r.Key.Service
 		_ = w.Write(record)
 	}
 	w.Flush()
@@ -51,10 +60,10 @@
 }
 
 // usedColumns returns the required columns and the optional ones that a row uses.
-func (t Table) usedColumns() []Column {
+func usedColumns(rows []Row) []Column {
 	used := make(map[string]bool)
-	for _, cells := range t.rows {
-		for name := range cells {
+	for _, r := range rows {
+		for name := range r.Cells {
 			used[name] = true
 		}
 	}
--- a/internal/core/table/table.go
+++ b/internal/core/table/table.go
@@ -47,26 +47,6 @@
 	Cells Cells
 }
 
-// New returns a table with the rows. The error has type Errors and lists everything
-// that is wrong.
-func New(rows []Row) (Table, error) {
-	t := Table{rows: make(map[Key]Cells, len(rows))}
-	var errs Errors
-	for _, r := range rows {
-		fields := Cells{ColumnKind: string(r.Key.Kind), ColumnName: r.Key.Name}
-		if r.Key.Service != "" {
-			fields[ColumnService] = r.Key.Service
-		}
-		maps.Copy(fields, r.Cells)
-		errs = append(errs, t.add(0, fields)...)
-	}
-	errs = append(errs, t.checkServices()...)
-	if len(errs) > 0 {
-		return Table{}, errs
-	}
-	return t, nil
-}
-
 // Keys returns the keys of the rows in the order of the CSV.
 func (t Table) Keys() []Key {
 	return slices.SortedFunc(maps.Keys(t.rows), Key.compare)
--- a/internal/tablestore/inforce.go
+++ b/internal/tablestore/inforce.go
@@ -17,31 +17,37 @@
 	return c.Revision == o.Revision && bytes.Equal(c.CSV, o.CSV)
 }
 
-// InForce holds the newest valid revision that a process has received. It is
-// not safe for concurrent use.
+// InForce holds the newest revision that a process has received and can use. It is not
+// safe for concurrent use.
 type InForce struct {
-	content Content
-	// rejected is the last invalid content; its error is not returned again.
+	content   Content
+	unapplied []table.Unapplied
+	// rejected is the last content that is no table; its error is not returned again.
 	rejected Content
 }
 
 // Content returns the revision in force. Its number is zero if there is none.
 func (f *InForce) Content() Content { return f.content }
 
-// Offer puts c in force if it is newer than the revision in force and valid as
-// a whole, and then returns its policy and true. It returns ErrMalformed for
-// invalid content, but not again while the same content is offered repeatedly.
+// Unapplied returns the values of the revision in force that cannot be applied as they are
+// written. The caller must not change them.
+func (f *InForce) Unapplied() []table.Unapplied { return f.unapplied }
+
+// Offer puts c in force if it is newer than the revision in force, and then returns its
+// policy and true. What cannot be applied does not keep the rest out of force. It returns
+// ErrMalformed for content that is no table at all, but not again while the same content is
+// offered repeatedly.
 func (f *InForce) Offer(c Content) (entry.Policy, bool, error) {
 	if c.Revision <= f.content.Revision || c.equal(f.rejected) {
 		return entry.Policy{}, false, nil
 	}
-	file, err := table.Decode(c.CSV)
+	t, unapplied, err := table.Load(c.CSV)
 	if err != nil {
 		f.rejected = c
 		return entry.Policy{}, false, ErrMalformed.Wrap(err, "revision %d", c.Revision)
 	}
-	f.content = c
-	return table.Policy(c.Revision, file.Table), true, nil
+	f.content, f.unapplied = c, unapplied
+	return table.Policy(c.Revision, t), true, nil
 }
 
 // ContentOf decodes the newest revision of a stored value. It does not validate
