--- a/internal/command/statusprint.go
+++ b/internal/command/statusprint.go
@@ -40,7 +40,8 @@
 	return json.NewEncoder(w).Encode(out)
 }
 
-// printStatus prints three tables: entries, workers, client accounts.
+// printStatus prints tables of entries, workers and client accounts, and what of the newest
+// table is not in force.
 func printStatus(w io.Writer, reports []entryReport) error {
 	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tab, "ENTRY\tADDRESS\tDOMAIN\tSTATE\tREVISION\tJOBS\tQUEUED\tRUNNING\tWORKERS\tSTORE\tUPTIME")
@@ -58,9 +59,28 @@
 		fmt.Fprintf(tab, "%s\t%d\t%d\t%s\t%s\n", a.Account, a.QueuedTasks, a.RunningTasks,
 			percent(float64(a.RunningTasks)/max(1, float64(running))), percent(a.DueShare))
 	}
+	printUnapplied(tab, reports)
 	return tab.Flush()
 }
 
+// printUnapplied prints what of the newest table is not in force, if there is anything.
+func printUnapplied(w io.Writer, reports []entryReport) {
+	for _, r := range reports {
+		e := r.status.GetEntry()
+		if e.GetRejectedTable() != "" {
+			fmt.Fprintf(w, "\n%s: the newest table is not in force: %s\n", e.GetName(), e.GetRejectedTable())
+		}
+		if e.GetUnappliedValues() == 0 {
+			continue
+		}
+		fmt.Fprintf(w, "\n%s: %d values of revision %d are not applied as they are written\nROW\tCOLUMN\tVALUE\tEFFECT\tIN FORCE\n",
+			e.GetName(), e.GetUnappliedValues(), e.GetRevision())
+		for _, u := range e.GetUnapplied() {
+			fmt.Fprintf(w, "%q\t%s\t%q\t%s\t%s\n", u.GetRow(), u.GetColumn(), u.GetValue(), u.GetEffect(), u.GetInForce())
+		}
+	}
+}
+
 func printEntry(w io.Writer, r entryReport) {
 	if r.err != nil {
 		fmt.Fprintf(w, "-\t%s\t-\tno answer\t\t\t\t\t\t\t\n", r.address)
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -64,6 +64,8 @@
 		QueuedTasks: s.QueuedTasks, RunningTasks: s.RunningTasks, OpenJobs: s.Jobs,
 		MessageDelay: s.MessageDelay, Links: s.Links, Revision: s.Revision, StoreReachable: d.storeReachable(),
 	}
+	report := d.tableReport()
+	g.UnappliedValues, g.TableRejected = report.unapplied, report.rejected != ""
 	for _, w := range s.Workers {
 		g.FreeSlots += w.Free
 	}
--- a/internal/entryd/operator.go
+++ b/internal/entryd/operator.go
@@ -21,12 +21,14 @@
 	if err := d.loop.call(ctx, func(time.Time) { snapshot = d.loop.core.Snapshot() }); err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
+	report := d.tableReport()
 	return connect.NewResponse(&pb.StatusResponse{
 		Entry: &pb.EntryStatus{
 			Name: d.name, FailureDomain: d.opts.failureDomain, Revision: snapshot.Revision,
 			Jobs: uint32(snapshot.Jobs), QueuedTasks: uint32(snapshot.QueuedTasks),
 			RunningTasks: uint32(snapshot.RunningTasks), Draining: snapshot.Draining,
 			StoreReachable: d.storeReachable(), Uptime: durationpb.New(time.Since(d.startTime)),
+			UnappliedValues: uint32(report.unapplied), Unapplied: encodeUnapplied(report.listed), RejectedTable: report.rejected,
 		},
 		Workers: encodeWorkers(snapshot.Workers), Accounts: encodeAccounts(snapshot.Accounts),
 		Peers: encodePeers(snapshot),
--- a/internal/entryd/platform.go
+++ b/internal/entryd/platform.go
@@ -79,6 +79,8 @@
 
 	mu      sync.Mutex
 	inForce tablestore.InForce
+	// rejected says why the newest content is not in force; empty if it is.
+	rejected string
 	// seeds are addresses of entries to ask when the store is down.
 	seeds   []string
 	mirror  *membership.Mirror
@@ -234,8 +236,8 @@
 	}
 }
 
-// applyIfNewer puts a revision in force if it is newer than the present one. A revision
-// that cannot be applied is reported and changes nothing.
+// applyIfNewer puts a revision in force if it is newer than the present one, and reports
+// what of it cannot be applied. Content that is no table changes nothing.
 func (p *Platform) applyIfNewer(c tablestore.Content) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -248,8 +250,10 @@
 	case err != nil:
 		p.reportRejected(c.Revision, err)
 	case newer:
+		p.rejected = ""
 		p.applyPolicy(policy)
-		logevent.RevisionInForce.Log(p.cfg.Log, zap.Uint64("revision", c.Revision))
+		logevent.RevisionInForce.Log(p.cfg.Log, zap.Uint64("revision", c.Revision), zap.Int("unapplied_values", len(p.inForce.Unapplied())))
+		p.logUnapplied(c.Revision)
 		if p.cfg.Hooks.InForce != nil {
 			p.cfg.Hooks.InForce(c.Revision)
 		}
@@ -260,13 +264,6 @@
 	}
 }
 
-func (p *Platform) reportRejected(revision uint64, err error) {
-	logevent.RevisionRejected.Log(p.cfg.Log, zap.Uint64("revision", revision), zap.String("error", err.Error()))
-	if p.cfg.Hooks.Rejected != nil {
-		p.cfg.Hooks.Rejected(revision)
-	}
-}
-
 // refreshPeers passes on the list of entries if it has changed, and reports names that
 // two processes use. p.mu must be held.
 func (p *Platform) refreshPeers(now time.Time) {
--- a/internal/logevent/configuration.go
+++ b/internal/logevent/configuration.go
@@ -5,8 +5,9 @@
 // Events of configuration and membership (2100 to 2199).
 var (
 	RevisionInForce  = define(2101, "revision_in_force", zap.InfoLevel, "a table revision is in force")
-	RevisionRejected = define(2102, "revision_rejected", zap.ErrorLevel, "a table revision cannot be applied; the previous one stays in force")
+	RevisionRejected = define(2102, "revision_rejected", zap.ErrorLevel, "a stored value cannot be read as a table; the previous revision stays in force")
 	RevisionUnknown  = define(2103, "revision_unknown", zap.WarnLevel, "no table revision is known; jobs are refused")
+	ValueUnapplied   = define(2104, "value_unapplied", zap.WarnLevel, "a value of the table in force cannot be applied as it is written")
 	StoreUnreachable = define(2111, "store_unreachable", zap.WarnLevel, "the store is unreachable; processing continues")
 	StoreReachable   = define(2112, "store_reachable", zap.InfoLevel, "the store is reachable")
 	EntryRegistered  = define(2121, "entry_registered", zap.InfoLevel, "the entry is registered in the store")
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -17,6 +17,11 @@
 	Links          int
 	Revision       uint64
 	StoreReachable bool
+	// UnappliedValues is the number of values of the table in force that cannot be applied as
+	// they are written.
+	UnappliedValues int
+	// TableRejected is set while the newest table is not in force.
+	TableRejected bool
 	// MessageDelay is how late the entry reads the messages of its agents.
 	MessageDelay time.Duration
 }
@@ -32,6 +37,8 @@
 		links:          func(g Gauges) int64 { return int64(g.Links) },
 		revision:       func(g Gauges) int64 { return int64(g.Revision) },
 		messageDelay:   func(g Gauges) int64 { return g.MessageDelay.Microseconds() },
+		unapplied:      func(g Gauges) int64 { return int64(g.UnappliedValues) },
+		tableRejected:  func(g Gauges) int64 { return boolToInt64(g.TableRejected) },
 		storeReachable: func(g Gauges) int64 { return boolToInt64(g.StoreReachable) },
 	}
 	var instruments []metric.Observable
