--- a/internal/core/entry/policy.go
+++ b/internal/core/entry/policy.go
@@ -1,9 +1,6 @@
 package entry
 
-import (
-	"strings"
-	"time"
-)
+import "time"
 
 // Policy is the part of the operators' table that the core uses.
 type Policy struct {
@@ -11,21 +8,10 @@
 	Revision uint64
 	Services map[string]ServicePolicy
 	Accounts map[string]AccountPolicy
-	// Routes are ordered by the length of their path prefix, the longest first.
+	// Routes are the requests of adapters that are jobs; see Router.
 	Routes []Route
 }
 
-// Route returns the route of the host with the longest prefix of the path, and whether
-// there is one.
-func (p *Policy) Route(host, path string) (Route, bool) {
-	for _, r := range p.Routes {
-		if r.Host == host && strings.HasPrefix(path, r.PathPrefix) {
-			return r, true
-		}
-	}
-	return Route{}, false
-}
-
 // ServicePolicy holds the settings of a service.
 type ServicePolicy struct {
 	JobTypes map[string]JobTypePolicy
@@ -59,12 +45,6 @@
 	ResponseFactor float64
 }
 
-// Route maps requests for a host and a path prefix to a job type.
-type Route struct {
-	Host, PathPrefix string
-	Service, JobType string
-}
-
 // AccountPolicy holds the settings of a client account.
 type AccountPolicy struct {
 	// Weight divides capacity among accounts in proportion.
--- a/internal/core/table/load.go
+++ b/internal/core/table/load.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"strings"
+
+	"github.com/poplarlever/poplarlever/internal/core/entry"
 )
 
 // Effect says what is in force in place of a value that cannot be applied.
@@ -73,7 +75,7 @@
 	r := csv.NewReader(bytes.NewReader(content))
 	r.Comma = separator(content)
 	r.FieldsPerRecord = -1
-	l := loader{table: Table{rows: make(map[Key]Cells)}, routes: make(map[[2]string]bool)}
+	l := loader{table: Table{rows: make(map[Key]Cells)}, routes: make(map[route]bool)}
 	if err := l.readHeader(r); err != nil {
 		return Table{}, nil, err
 	}
@@ -91,6 +93,12 @@
 	return l.table, l.unapplied, nil
 }
 
+// route is a host and a path prefix.
+type route struct {
+	host entry.Host
+	path string
+}
+
 // loader collects the rows of a stored table.
 type loader struct {
 	table     Table
@@ -98,7 +106,7 @@
 	// columns holds the column of each field; nil means that the field is skipped.
 	columns []*Column
 	// routes holds the pairs of host and path prefix that belong to a job.
-	routes  map[[2]string]bool
+	routes  map[route]bool
 	records int
 }
 
@@ -218,7 +226,7 @@
 // belongs to an earlier job. The job is then reached only by its name.
 func (l *loader) claimRoute(key Key, cells Cells) {
 	host, path := cells[ColumnHost], cells[ColumnPathPrefix]
-	route := [2]string{host, path}
+	r := route{entry.ParseHost(host), path}
 	switch {
 	case host == "" && path == "":
 		return
@@ -226,10 +234,10 @@
 		l.report(key.String(), ColumnPathPrefix, "", Ignored, "")
 	case host == "":
 		l.report(key.String(), ColumnHost, "", Ignored, "")
-	case l.routes[route]:
+	case l.routes[r]:
 		l.report(key.String(), ColumnPathPrefix, path, Ignored, "")
 	default:
-		l.routes[route] = true
+		l.routes[r] = true
 		return
 	}
 	delete(cells, ColumnHost)
--- a/internal/core/table/policy.go
+++ b/internal/core/table/policy.go
@@ -1,16 +1,13 @@
 package table
 
 import (
-	"cmp"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 )
 
-// Policy converts a valid table to the policy of the entry core. Routes are sorted by
-// the length of their path prefix, longest first.
+// Policy converts a valid table to the policy of the entry core.
 func Policy(revision uint64, t Table) entry.Policy {
 	p := entry.Policy{
 		Revision: revision,
@@ -34,7 +31,6 @@
 			p.Accounts[k.Name] = accountPolicy(cells)
 		}
 	}
-	slices.SortStableFunc(p.Routes, func(a, b entry.Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	return p
 }
 
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -34,8 +34,8 @@
 	stopping    bool
 	links       *linkService
 	jobs        *runner
-	// policy is the latest policy, in which Route looks up routes.
-	policy atomic.Pointer[entry.Policy]
+	// router has the routes of the latest policy; nil without a policy.
+	router atomic.Pointer[entry.Router]
 	// policyKnown is closed once a policy is in force.
 	policyKnown chan struct{}
 	policyOnce  sync.Once
@@ -85,7 +85,7 @@
 // SetPolicy puts a table revision in force.
 func (d *Daemon) SetPolicy(p entry.Policy) {
 	d.tokens.setPolicy(p)
-	d.policy.Store(&p)
+	d.router.Store(entry.NewRouter(p.Routes))
 	d.loop.step(entry.SetPolicy{Policy: p})
 	d.policyOnce.Do(func() { close(d.policyKnown) })
 }
--- a/internal/entryd/frontdoor.go
+++ b/internal/entryd/frontdoor.go
@@ -29,21 +29,22 @@
 // after a second.
 const firstPolicyTimeout = 500 * time.Millisecond
 
-// Route returns the route that matches a request, and with it the job type. known is
-// false while there is no policy. Soon after the start, Route waits for the first one.
+// Route returns the route of a request by its Host header and its path, and with it the job
+// type. known is false while there is no policy. Soon after the start, Route waits for the
+// first one.
 func (f *FrontDoor) Route(ctx context.Context, host, path string) (route entry.Route, known, found bool) {
 	f.waitForFirstPolicy(ctx)
-	p := f.daemon.policy.Load()
-	if p == nil {
+	router := f.daemon.router.Load()
+	if router == nil {
 		return entry.Route{}, false, false
 	}
-	route, found = p.Route(host, path)
+	route, found = router.Find(host, path)
 	return route, true, found
 }
 
 func (f *FrontDoor) waitForFirstPolicy(ctx context.Context) {
 	remaining := firstPolicyTimeout - time.Since(f.daemon.startTime)
-	if f.daemon.policy.Load() != nil || remaining <= 0 {
+	if f.daemon.router.Load() != nil || remaining <= 0 {
 		return
 	}
 	timer := time.NewTimer(remaining)
