--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -51,7 +51,7 @@
 			return s.Source.Fault(key, err)
 		}
 		if key == "platform.callers" {
-			server.Handle("/", platform.NewJobs(d.FrontDoor()))
+			server.HandleAll(platform.NewJobs(d.FrontDoor()))
 		}
 		d.Attach(server)
 	}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -25,7 +25,9 @@
 // Server serves the handlers of one mux on one address. It is safe for concurrent
 // use.
 type Server struct {
-	mux             *http.ServeMux
+	mux *http.ServeMux
+	// all serves every request in place of mux, unless it is nil.
+	all             http.Handler
 	server          *http.Server
 	listener        net.Listener
 	ready           atomic.Bool
@@ -48,7 +50,7 @@
 	recovery := negroni.NewRecovery()
 	recovery.PrintStack = false
 	n := negroni.New(recovery, negroni.HandlerFunc(s.addConnectionClose))
-	n.UseHandler(s.mux)
+	n.UseHandlerFunc(s.serve)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(cfg != nil)
@@ -64,6 +66,19 @@
 // Handle registers a handler. It must be called before Serve.
 func (s *Server) Handle(pattern string, h http.Handler) { s.mux.Handle(pattern, h) }
 
+// HandleAll makes a handler serve every request, those of the health and readiness endpoints
+// among them, with its path as it was sent: a mux redirects callers from paths with empty
+// or dotted segments. It must be called before Serve.
+func (s *Server) HandleAll(h http.Handler) { s.all = h }
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if s.all != nil {
+		s.all.ServeHTTP(w, r)
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
 // SetReady sets whether /readyz answers 200 or 503; it is 503 until the first call.
 func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
 
