--- a/internal/core/table/column.go
+++ b/internal/core/table/column.go
@@ -46,7 +46,9 @@
 
 // Bounds of the values that operators may write.
 const (
-	maxCount    = 1_000_000
+	maxCount = 1_000_000
+	// Run times are divided by weights. Beyond minNumber and maxWeight, the quotients would
+	// overflow or vanish.
 	maxWeight   = 1_000_000
 	minNumber   = 0.001
 	maxJobTasks = 1000
@@ -94,7 +96,7 @@
 	{ColumnKind, "what the row describes", "service, job or account", []Kind{Service, Job, Account}, false, canonicalKind, storedText},
 	{ColumnName, "name of the service, job or client account", allowedName, []Kind{Service, Job, Account}, false, canonicalName, storedText},
 	{ColumnService, "service that may submit the job", "name of a service row", []Kind{Job}, false, canonicalName, storedText},
-	{ColumnWeight, "share of capacity against other accounts; 1 when empty", "number from 0.001 to 1000000", []Kind{Account}, false, numberUpTo(maxWeight), storedNumber(minStoredWeight, maxStoredWeight)},
+	{ColumnWeight, "share of capacity against other accounts; 1 when empty", "number from 0.001 to 1000000", []Kind{Account}, false, numberUpTo(maxWeight), storedNumber(minNumber, maxWeight)},
 	{ColumnMaxRunning, "most tasks that run at once; no limit when empty", allowedCount, []Kind{Account}, false, countUpTo(maxCount), storedCount(1)},
 	{ColumnMaxQueued, "most tasks that wait; no limit when empty", allowedCount, []Kind{Account}, false, countUpTo(maxCount), storedCount(1)},
 	{ColumnTasksPerSecond, "reserved for a quota that no process enforces yet; must be empty", "nothing", nil, false, numberUpTo(maxCount), storedText},
--- a/internal/core/table/load_test.go
+++ b/internal/core/table/load_test.go
@@ -27,12 +27,12 @@
 		"service,route-desk,,,,7,72h\n" +
 		"region,north,,,,,\n" +
 		"job,offers,route-desk,,,,next week\n" +
-		"account,atlas,,5e6,many,,\n" +
+		"account,atlas,,5e5,many,,\n" +
 		"account,hamasaki,,1,8,,\n"
 	p, unapplied := load(c, content)
 	c.Check(p.Services["route-desk"].DefaultDeadline, qt.Equals, 72*time.Hour)
 	c.Check(p.Services["route-desk"].JobTypes, qt.HasLen, 1)
-	c.Check(p.Accounts["atlas"], qt.Equals, entry.AccountPolicy{Weight: 5e6})
+	c.Check(p.Accounts["atlas"], qt.Equals, entry.AccountPolicy{Weight: 5e5})
 	c.Check(p.Accounts["hamasaki"], qt.Equals, entry.AccountPolicy{Weight: 1, MaxRunning: 8})
 	var messages []string
 	for _, u := range unapplied {
@@ -55,8 +55,8 @@
 		{"job,offers,,,,,,,,,", `job offers: column service: value "": row_left_out`},
 		{`account,"atlas"x,,2,,,,,,,`, `row 3: column -: value "parse error on line 3, column 15: extraneous or missing \" in quoted-field": row_left_out`},
 		{"account,atlas,,2,,,,,,,,7", `row 3: column -: value "7": ignored`},
-		{"account,atlas,,1e400,,,,,,,", `account atlas: column weight: value "1e400": replaced by "1000000000"`},
-		{"account,atlas,,-1,,,,,,,", `account atlas: column weight: value "-1": replaced by "0.000000001"`},
+		{"account,atlas,,1e400,,,,,,,", `account atlas: column weight: value "1e400": replaced by "1000000"`},
+		{"account,atlas,,-1,,,,,,,", `account atlas: column weight: value "-1": replaced by "0.001"`},
 		{"account,atlas,,NaN,,,,,,,", `account atlas: column weight: value "NaN": ignored`},
 		{"account,atlas,,,0,,,,,,", `account atlas: column max_running: value "0": replaced by "1"`},
 		{"account,atlas,,,,,,,,,abc", `account atlas: column token_sha256: value "abc": ignored`},
@@ -137,7 +137,7 @@
 		}
 		p := Policy(1, loaded)
 		for _, a := range p.Accounts {
-			qt.Assert(t, a.Weight >= minStoredWeight && a.Weight <= maxStoredWeight && a.MaxRunning >= 0 && a.MaxQueued >= 0, qt.IsTrue, qt.Commentf("%+v", a))
+			qt.Assert(t, a.Weight >= minNumber && a.Weight <= maxWeight && a.MaxRunning >= 0 && a.MaxQueued >= 0, qt.IsTrue, qt.Commentf("%+v", a))
 		}
 		for _, s := range p.Services {
 			for _, j := range s.JobTypes {
--- a/internal/core/table/stored.go
+++ b/internal/core/table/stored.go
@@ -11,14 +11,8 @@
 // this program saw it: by the users' platform, or by another version of the program. The
 // bounds of what operators may write do not apply to it.
 
-// Bounds of the values that the program can calculate with.
-const (
-	// maxStoredCount is the largest whole number up to which all are exact in JSON.
-	maxStoredCount = 1 << 53
-	// minStoredWeight and maxStoredWeight keep sums and ratios of weights exact enough.
-	minStoredWeight = 1e-9
-	maxStoredWeight = 1e9
-)
+// maxStoredCount bounds whole numbers: up to it, all are exact in JSON.
+const maxStoredCount = 1 << 53
 
 // reading says how well the program can apply a stored value.
 type reading uint8
