--- a/internal/settings/checks.go
+++ b/internal/settings/checks.go
@@ -31,12 +31,16 @@
 	}
 }
 
-func optionalName(value *string) func() error {
+// maxTextBytes bounds a text that this program does not choose, in bytes.
+const maxTextBytes = 1000
+
+// optionalText checks a text that another system chooses.
+func optionalText(value *string) func() error {
 	return func() error {
-		if *value == "" {
-			return nil
+		if len(*value) > maxTextBytes {
+			return errorf("the text has %d bytes, at most %d are allowed", len(*value), maxTextBytes)
 		}
-		return requiredName(value)()
+		return nil
 	}
 }
 
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -74,7 +74,7 @@
 		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay),
 		{"store.address", "Address of the platform's store, where the agent finds entries; empty means none.", &s.Store.Address, optionalAddress(&s.Store.Address), ""},
 		storeProtocol(&s.Store),
-		{"platform.service", "Service of this VM's worker of the users' platform; empty means an endpoint with the product's own interface.", &s.Platform.Service, optionalName(&s.Platform.Service), ""},
+		{"platform.service", "Service of this VM's worker of the users' platform; empty means an endpoint with the product's own interface.", &s.Platform.Service, optionalText(&s.Platform.Service), ""},
 		tlsMode(&s.TLS, &s.InsecureNetwork, func() []string { return append([]string{s.Listen}, s.Entries...) }),
 		tlsFile("certificate", "PEM file with this process's certificate.", &s.TLS, &s.TLS.Certificate),
 		tlsFile("key", "PEM file with the certificate's private key.", &s.TLS, &s.TLS.Key),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -55,6 +56,21 @@
 	}
 }
 
+// Guards against an agent that does not start because the users' platform gives its service
+// a name that operators of the product could not.
+func TestServiceOfThePlatformMayHaveAnyName(t *testing.T) {
+	c := qt.New(t)
+	for _, name := range []string{"huvo11a", "Route Desk", "épicerie/\"7\"", strings.Repeat("s", 300)} {
+		encoded, err := json.Marshal(name)
+		c.Assert(err, qt.IsNil)
+		path := filepath.Join(c.TempDir(), "settings.toml")
+		c.Assert(os.WriteFile(path, []byte("worker = \"w\"\n[platform]\nservice = "+string(encoded)+"\n"), 0o600), qt.IsNil)
+		s, err := settings.LoadAgent(path, func(*settings.Agent) []settings.Override { return nil })
+		c.Assert(err, qt.IsNil)
+		c.Check(s.Platform.Service, qt.Equals, name)
+	}
+}
+
 // Guards against printed defaults that do not pass the check or lack a key.
 func TestPrintedDefaultsPass(t *testing.T) {
 	c := qt.New(t)
