--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -80,6 +80,8 @@
 	cfg    Config
 	rng    *rand.Rand
 	policy Policy
+	// mostUrgent holds the smallest priority of the job types of each service.
+	mostUrgent map[string]int
 	// self is this entry as agents reach it, peers are the other entries.
 	self  msg.Peer
 	peers []msg.Peer
@@ -222,7 +224,7 @@
 // setPolicy puts a newer table revision in force and announces it to the agents.
 func (c *Core) setPolicy(now time.Time, p Policy) {
 	invariant.Check(p.Revision > c.policy.Revision, invariant.RevisionForward, "entry %s goes from table revision %d to %d", c.cfg.Name, c.policy.Revision, p.Revision)
-	c.policy = p
+	c.policy, c.mostUrgent = p, mostUrgent(p)
 	c.applyAllotments()
 	for _, w := range c.workers.list {
 		if w.linked() && w.revision < p.Revision {
--- a/internal/core/entry/overload.go
+++ b/internal/core/entry/overload.go
@@ -25,14 +25,26 @@
 // reservedCores returns the cores of the service that a job has to leave free: minus
 // infinity for a job of the most urgent types.
 func (c *Core) reservedCores(p *pass, j *job) float64 {
-	for _, t := range c.policy.Services[j.spec.Service].JobTypes {
-		if t.Priority < j.policy.Priority {
-			return urgentReserve * p.totalCores
-		}
+	if most, known := c.mostUrgent[j.spec.Service]; known && most < j.policy.Priority {
+		return urgentReserve * p.totalCores
 	}
 	return math.Inf(-1)
 }
 
+// mostUrgent returns the smallest priority of each service that has job types. A service may
+// have tens of thousands of them, and each job that waits is compared.
+func mostUrgent(p Policy) map[string]int {
+	most := make(map[string]int, len(p.Services))
+	for name, s := range p.Services {
+		for _, t := range s.JobTypes {
+			if least, known := most[name]; !known || t.Priority < least {
+				most[name] = t.Priority
+			}
+		}
+	}
+	return most
+}
+
 // restartable reports whether a task may be started again after an attempt that failed or
 // was aborted.
 func (j *job) restartable() bool { return j.policy.MaxAttempts > 0 }
