--- a/internal/tablestore/inforce.go
+++ b/internal/tablestore/inforce.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/core/table"
@@ -50,9 +51,27 @@
 	return table.Policy(c.Revision, t), true, nil
 }
 
-// ContentOf decodes the newest revision of a stored value. It does not validate
-// the table.
+// ContentOf decodes the newest revision of a stored value. It reads nothing else of the
+// value, which a newer program may have written, and does not judge the table. It returns
+// ErrMalformed unless the value holds a table and its revision.
 func ContentOf(value []byte) (Content, error) {
-	d, err := decodeDocument(value)
-	return Content{Revision: d.Revision(), CSV: []byte(d.CSV)}, err
+	var d struct {
+		CSV     string            `json:"csv"`
+		History []json.RawMessage `json:"history"`
+	}
+	if err := json.Unmarshal(value, &d); err != nil {
+		return Content{}, ErrMalformed.Wrap(err, "decode the stored table")
+	}
+	var newest struct {
+		Number uint64 `json:"revision"`
+	}
+	if len(d.History) > 0 {
+		if err := json.Unmarshal(d.History[0], &newest); err != nil {
+			return Content{}, ErrMalformed.Wrap(err, "decode the newest revision")
+		}
+	}
+	if newest.Number == 0 {
+		return Content{}, ErrMalformed.New("the stored table has no revision")
+	}
+	return Content{Revision: newest.Number, CSV: []byte(d.CSV)}, nil
 }
