--- a/internal/core/table/load_test.go
+++ b/internal/core/table/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -97,6 +98,18 @@
 	c.Check(unapplied[len(unapplied)-1].Error(), qt.Equals, `job s/c: column path_prefix: value "": ignored`)
 }
 
+// Guards against a stored weight with which a run is charged as nothing, or as a time that
+// overflows: its account would go before all others for good.
+func TestStoredWeightsKeepShares(t *testing.T) {
+	c := qt.New(t)
+	for _, weight := range []string{"1e400", "1e300", "1e9", "1e-9", "1e-300", "0", "-1", "-1e400", "NaN"} {
+		p, _ := load(c, "kind,name,weight\naccount,a,"+weight+"\n")
+		charge := func(d time.Duration) float64 { return float64(d) / p.Accounts["a"].Weight }
+		c.Check(charge(time.Millisecond) >= 1, qt.IsTrue, qt.Commentf("%s", weight))
+		c.Check(charge(1000*time.Hour) < math.MaxInt64, qt.IsTrue, qt.Commentf("%s", weight))
+	}
+}
+
 // Guards against a table that operators may write and that is in force in another way than
 // it was checked.
 func TestWhatOperatorsMayWriteIsInForce(t *testing.T) {
