--- a/internal/core/forecast/forecast.go
+++ b/internal/core/forecast/forecast.go
@@ -62,14 +62,16 @@
 	return min(max(horizonRuns*f.meanRun, minHorizon.Seconds()), maxHorizon.Seconds())
 }
 
-// Arrived records a job: the cores of all its tasks and the run time of its longest task.
+// Arrived records a job: the cores of all its tasks and the declared run time of its longest
+// task. A run time above maxHorizon counts as that, so that one job with an odd declaration
+// does not decide the mean.
 func (f *Flow) Arrived(now time.Time, cores float64, runTime time.Duration) {
 	if f.jobs == 0 {
 		f.started = now
 	}
 	f.jobs++
 	gain := max(jobGain, 1/float64(f.jobs))
-	f.meanRun += gain * (runTime.Seconds() - f.meanRun)
+	f.meanRun += gain * (min(runTime, maxHorizon).Seconds() - f.meanRun)
 	f.meanCores += gain * (cores - f.meanCores)
 	f.meanSquare += gain * (cores*cores - f.meanSquare)
 	f.arrived = f.arrivedBy(now) + cores
