Give each deletion in a watch its own version

A watch told a deletion by its key alone, and the copy of the store gave it the version of the whole answer. A key that was removed and written again within one answer then stayed removed for good. A deletion of a key that the copy had not seen was not recorded at all, so that a late response restored it.

Recorded deletions are bounded.

TestWatch and TestWatchOverHTTP compare the version in addition to the key, since the type of Changes.Deleted has changed.

--- a/internal/fake/store/handler.go
+++ b/internal/fake/store/handler.go
@@ -72,7 +72,7 @@
 		},
 		store.PathWatch: func(r *http.Request, q store.Request) (store.Response, error) {
 			c, err := s.Watch(r.Context(), q.Prefix, q.Version)
-			return store.Response{Version: c.Version, Entries: c.Entries, Deleted: c.Deleted}, err
+			return store.WatchResponse(c), err
 		},
 	}
 }
--- a/internal/fake/store/store.go
+++ b/internal/fake/store/store.go
@@ -211,7 +211,7 @@
 		switch {
 		case it.version <= after || !strings.HasPrefix(key, prefix):
 		case it.deleted:
-			c.Deleted = append(c.Deleted, key)
+			c.Deleted = append(c.Deleted, store.Deletion{Key: key, Version: it.version})
 		default:
 			c.Entries = append(c.Entries, store.Entry{Key: key, Value: it.value, Version: it.version})
 		}
--- a/internal/fake/store/store_test.go
+++ b/internal/fake/store/store_test.go
@@ -67,7 +67,9 @@
 	}()
 	qt.Assert(t, c.Delete(t.Context(), "a/1", v), qt.IsNil)
 	changes := <-got
-	qt.Assert(t, changes.Deleted, qt.DeepEquals, []string{"a/1"})
+	qt.Assert(t, changes.Deleted, qt.HasLen, 1)
+	qt.Assert(t, changes.Deleted[0].Key, qt.Equals, "a/1")
+	qt.Assert(t, changes.Deleted[0].Version, qt.Equals, changes.Version)
 	qt.Assert(t, changes.Version, qt.Equals, v+1)
 }
 
--- a/internal/membership/mirror.go
+++ b/internal/membership/mirror.go
@@ -1,6 +1,9 @@
 package membership
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/poplarlever/poplarlever/internal/store"
 )
 
@@ -11,11 +14,16 @@
 	entries map[string]store.Entry
 	version uint64
 	// deletedAt holds the version at which a key was found to be deleted, so that
-	// late responses do not restore it. Only entry processes that have ended leave
-	// deleted keys behind.
+	// late responses do not restore it. Only entry processes that have ended and
+	// evacuations that were withdrawn leave deleted keys behind; beyond maxDeleted the
+	// oldest ones are dropped.
 	deletedAt map[string]uint64
 }
 
+// maxDeleted is the largest number of deleted keys that are remembered. A response is late by
+// seconds, in which far fewer keys are deleted.
+const maxDeleted = 4096
+
 // NewMirror returns an empty copy.
 func NewMirror() *Mirror {
 	return &Mirror{entries: make(map[string]store.Entry), deletedAt: make(map[string]uint64)}
@@ -94,22 +102,32 @@
 }
 
 // remove deletes a key that did not exist at the given version, unless the copy's
-// entry is newer. It reports whether the key was deleted.
+// entry is newer. It reports whether the copy changed: also the deletion of a key that the
+// copy lacks is recorded, since a late response may still carry the key.
 func (m *Mirror) remove(key string, version uint64) bool {
-	e, ok := m.entries[key]
-	if !ok || e.Version > version {
+	if m.entries[key].Version > version || m.deletedAt[key] >= version {
 		return false
 	}
 	delete(m.entries, key)
 	m.deletedAt[key] = version
+	if len(m.deletedAt) > maxDeleted {
+		m.dropOldDeletions()
+	}
 	return true
 }
 
+// dropOldDeletions forgets the older half of the deleted keys.
+func (m *Mirror) dropOldDeletions() {
+	versions := slices.Sorted(maps.Values(m.deletedAt))
+	limit := versions[len(versions)/2]
+	maps.DeleteFunc(m.deletedAt, func(_ string, version uint64) bool { return version <= limit })
+}
+
 // Apply applies the result of a watch and reports whether the copy changed.
 func (m *Mirror) Apply(c store.Changes) bool {
 	changed := false
-	for _, key := range c.Deleted {
-		changed = m.remove(key, c.Version) || changed
+	for _, d := range c.Deleted {
+		changed = m.remove(d.Key, d.Version) || changed
 	}
 	for _, e := range c.Entries {
 		changed = m.Put(e) || changed
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -104,7 +104,7 @@
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (Changes, error) {
 	resp, err := c.read(ctx, watchTimeout, PathWatch, Request{Prefix: prefix, Version: after})
-	return Changes{Version: resp.Version, Entries: resp.Entries, Deleted: resp.Deleted}, err
+	return resp.changes(), err
 }
 
 func (c *Client) read(ctx context.Context, timeout time.Duration, path string, req Request) (Response, error) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -33,12 +33,19 @@
 }
 
 // Changes holds the keys that were written or deleted after a version, the
-// written ones with their latest values.
+// written ones with their latest values. A key that was deleted and written again
+// may be in both lists; the larger version is the later state.
 type Changes struct {
 	// Version is the version after which the next watch resumes.
-	Version uint64   `json:"version"`
-	Entries []Entry  `json:"entries"`
-	Deleted []string `json:"deleted"`
+	Version uint64
+	Entries []Entry
+	Deleted []Deletion
+}
+
+// Deletion is a key that was deleted at a version.
+type Deletion struct {
+	Key     string
+	Version uint64
 }
 
 // Store is the platform's key-value store. Implementations are safe for
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -33,4 +33,30 @@
 	Lease   LeaseID  `json:"lease,omitempty"`
 	Entries []Entry  `json:"entries,omitempty"`
 	Deleted []string `json:"deleted,omitempty"`
+	// DeletedAt holds the versions of Deleted, in the same order. A store of an older
+	// version omits it.
+	DeletedAt []uint64 `json:"deleted_at,omitempty"`
+}
+
+// WatchResponse returns the response of a watch.
+func WatchResponse(c Changes) Response {
+	r := Response{Version: c.Version, Entries: c.Entries}
+	for _, d := range c.Deleted {
+		r.Deleted, r.DeletedAt = append(r.Deleted, d.Key), append(r.DeletedAt, d.Version)
+	}
+	return r
+}
+
+// changes returns the changes in the response of a watch. A deletion without a version has
+// that of the response.
+func (r Response) changes() Changes {
+	c := Changes{Version: r.Version, Entries: r.Entries}
+	for i, key := range r.Deleted {
+		d := Deletion{Key: key, Version: r.Version}
+		if len(r.DeletedAt) == len(r.Deleted) {
+			d.Version = r.DeletedAt[i]
+		}
+		c.Deleted = append(c.Deleted, d)
+	}
+	return c
 }
