--- /dev/null
+++ b/internal/core/evacuation/evacuation_test.go
@@ -0,0 +1,195 @@
+package evacuation_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/joomcode/errorx"
+	"pgregory.net/rapid"
+
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
+)
+
+func on(name string, version uint64) evacuation.Domain {
+	return evacuation.Domain{Name: name, Evacuated: true, Version: version}
+}
+
+func off(name string, version uint64) evacuation.Domain {
+	return evacuation.Domain{Name: name, Version: version}
+}
+
+// history is a store in which each version begins or ends the evacuation of one domain.
+type history []evacuation.Domain
+
+// at returns the evacuated domains at a version, each with the version that began it.
+func (h history) at(version uint64) map[string]uint64 {
+	listed := make(map[string]uint64)
+	for _, d := range h {
+		if d.Version > version {
+			break
+		}
+		delete(listed, d.Name)
+		if d.Evacuated {
+			listed[d.Name] = d.Version
+		}
+	}
+	return listed
+}
+
+// listing returns what a complete listing at a version tells.
+func (h history) listing(version uint64) evacuation.Report {
+	r := evacuation.Report{ListedAt: version}
+	for name, v := range h.at(version) {
+		r.Domains = append(r.Domains, on(name, v))
+	}
+	return r
+}
+
+// Guards against a state that depends on the order in which processes learn of changes: an
+// evacuation that comes back after its withdrawal, or a withdrawal that a late message undoes.
+// Several processes get events and listings of one store late, repeatedly and in any order,
+// and pass on what they know. Each has to hold, for each domain, the newest state that it was
+// told of, and after the newest listing that of the store.
+func TestStateFollowsTheNewestReport(t *testing.T) {
+	qt.Assert(t, flag.Set("rapid.seed", "1"), qt.IsNil)
+	qt.Assert(t, flag.Set("rapid.nofailfile", "true"), qt.IsNil)
+	rapid.Check(t, func(t *rapid.T) {
+		var store history
+		for version := uint64(1); version <= 12; version++ {
+			name := fmt.Sprint("z", rapid.IntRange(0, 3).Draw(t, "domain"))
+			store = append(store, evacuation.Domain{Name: name, Evacuated: rapid.Bool().Draw(t, "evacuated"), Version: version})
+		}
+		var processes [3]evacuation.State
+		var told [3]map[string]evacuation.Domain
+		for i := range told {
+			told[i] = make(map[string]evacuation.Domain)
+		}
+		learn := func(i int, d evacuation.Domain) {
+			if d.Version > told[i][d.Name].Version {
+				told[i][d.Name] = d
+			}
+		}
+		learnListing := func(i int, version uint64) {
+			listed := store.at(version)
+			for name, v := range listed {
+				learn(i, on(name, v))
+			}
+			for name, d := range told[i] {
+				if _, ok := listed[name]; !ok && d.Evacuated && d.Version < version {
+					told[i][name] = off(name, version)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "messages") {
+			i, version := rapid.IntRange(0, 2).Draw(t, "process"), uint64(rapid.IntRange(1, 12).Draw(t, "version"))
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				d := store[version-1]
+				processes[i].Merge(evacuation.Report{Domains: []evacuation.Domain{d}})
+				learn(i, d)
+			case 1:
+				processes[i].Merge(store.listing(version))
+				learnListing(i, version)
+			case 2:
+				from := rapid.IntRange(0, 2).Draw(t, "from")
+				r := processes[from].Report()
+				processes[i].Merge(r)
+				for _, d := range r.Domains {
+					learn(i, d)
+				}
+				if r.ListedAt > 0 {
+					for name, d := range told[i] {
+						if d.Evacuated && d.Version < r.ListedAt && told[from][name].Version == 0 {
+							told[i][name] = off(name, r.ListedAt)
+						}
+					}
+				}
+			}
+			for name, d := range told[i] {
+				if got := processes[i].Evacuated(name); got != d.Evacuated {
+					t.Fatalf("process %d: %s evacuated %v, last told %+v, state %+v", i, name, got, d, processes[i].Report())
+				}
+			}
+		}
+		newest := uint64(len(store))
+		for i := range processes {
+			processes[i].Merge(store.listing(newest))
+			inForce := make(map[string]uint64)
+			for _, d := range processes[i].InForce() {
+				inForce[d.Name] = d.Version
+			}
+			if want := store.at(newest); fmt.Sprint(inForce) != fmt.Sprint(want) {
+				t.Fatalf("process %d holds %v, want %v", i, inForce, want)
+			}
+		}
+	})
+}
+
+// Guards against a process that keeps a domain evacuated because no one that it can ask was
+// there when the evacuation was withdrawn.
+func TestCompleteReportWithdrawsWhatItLacks(t *testing.T) {
+	c := qt.New(t)
+	var s evacuation.State
+	s.Merge(evacuation.Report{Domains: []evacuation.Domain{on("a", 5), on("b", 9)}})
+	changed, _ := s.Merge(evacuation.Report{ListedAt: 9})
+	c.Check(changed, qt.DeepEquals, []evacuation.Change{{Domain: off("a", 9), Flipped: true}})
+	c.Check(s.Evacuated("b"), qt.IsTrue, qt.Commentf("the report is not newer than the evacuation"))
+	changed, _ = s.Merge(evacuation.Report{Domains: []evacuation.Domain{on("a", 5)}})
+	c.Check(changed, qt.HasLen, 0)
+	c.Check(s.Evacuated("a"), qt.IsFalse)
+}
+
+// Guards against a newer state that is not passed on because it does not change whether the
+// domain is evacuated: a process that has seen the withdrawal in between needs it.
+func TestRepeatedEvacuationIsAChange(t *testing.T) {
+	var s evacuation.State
+	s.Merge(evacuation.Report{Domains: []evacuation.Domain{on("a", 5)}})
+	changed, _ := s.Merge(evacuation.Report{Domains: []evacuation.Domain{on("a", 7)}})
+	qt.Assert(t, changed, qt.DeepEquals, []evacuation.Change{{Domain: on("a", 7)}})
+}
+
+// Guards against a value that no store can have and that blocks others, is taken for a state,
+// or is reported again with each exchange.
+func TestInvalidStatesAreRejected(t *testing.T) {
+	c := qt.New(t)
+	invalid := []evacuation.Domain{
+		on("", 3), on(strings.Repeat("z", evacuation.MaxName+1), 3), on("\xff", 3), on("z", 0), on("z", math.MaxUint64),
+	}
+	var s evacuation.State
+	changed, rejected := s.Merge(evacuation.Report{Domains: append(invalid, on("a", 4)), ListedAt: 6})
+	c.Check(changed, qt.DeepEquals, []evacuation.Change{{Domain: on("a", 4), Flipped: true}})
+	c.Check(rejected, qt.HasLen, len(invalid))
+	for _, r := range rejected {
+		c.Check(errorx.IsOfType(r.Err, evacuation.ErrInvalid), qt.IsTrue)
+	}
+	c.Check(s.Report(), qt.DeepEquals, evacuation.Report{Domains: []evacuation.Domain{on("a", 4)}})
+	_, rejected = s.Merge(evacuation.Report{Domains: []evacuation.Domain{invalid[1]}})
+	c.Check(rejected, qt.HasLen, 0)
+	s.Merge(evacuation.Report{ListedAt: math.MaxUint64})
+	c.Check(s.Evacuated("a"), qt.IsTrue)
+}
+
+// Guards against a state without bound, an evacuation that another one displaces, and a state
+// that counts as complete although a domain found no place.
+func TestStateIsBounded(t *testing.T) {
+	c := qt.New(t)
+	var s evacuation.State
+	for i := range 3 * evacuation.MaxDomains {
+		s.Merge(evacuation.Report{Domains: []evacuation.Domain{off(fmt.Sprint("old", i), uint64(1+i))}})
+	}
+	c.Assert(s.Report().Domains, qt.HasLen, evacuation.MaxDomains)
+	for i := range evacuation.MaxDomains {
+		_, rejected := s.Merge(evacuation.Report{Domains: []evacuation.Domain{on(fmt.Sprint("z", i), uint64(1+i))}})
+		c.Assert(rejected, qt.HasLen, 0)
+	}
+	s.Merge(evacuation.Report{Domains: s.Report().Domains, ListedAt: 1000})
+	_, rejected := s.Merge(evacuation.Report{Domains: []evacuation.Domain{on("more", 2000), off("other", 2001)}, ListedAt: 2002})
+	c.Assert(rejected, qt.HasLen, 1)
+	c.Check(errorx.IsOfType(rejected[0].Err, evacuation.ErrFull), qt.IsTrue)
+	c.Check(s.InForce(), qt.HasLen, evacuation.MaxDomains)
+	c.Check(s.Report().ListedAt, qt.Equals, uint64(0))
+}
