--- a/internal/tablestore/document.go
+++ b/internal/tablestore/document.go
@@ -18,6 +18,10 @@
 // Key is the store key of the table.
 const Key = Prefix + "table"
 
+// EvacuationsPrefix is the prefix of the store keys that request the evacuation of a failure
+// domain, whose name follows. The presence of a key is the request, whatever its value.
+const EvacuationsPrefix = Prefix + "evacuations/"
+
 const (
 	// maxHistoryBytes bounds the encoded history, in bytes. Every entry reads the
 	// value after each change, so it stays far below the store's limit.
