Refuse starts in an evacuated failure domain at the agent

An agent merges what all linked entries say of evacuations. While its own failure domain is evacuated it refuses dispatches, also those that wait for room, with the reason evacuated, which proves that the attempt did not start; the lease core refuses the starts that wait for the worker's answer. Running tasks go on, and the state is kept when no entry is linked.

The message is a TableUpdate of revision 0 with a further field, which an agent of an earlier version ignores: a message of an unknown kind would end its link. Hello names the evacuation that an agent holds, so that an entry that has never seen it can answer that it was withdrawn.

go test -race ./internal/core/{agent,lease,verdict} ./internal/linkpb: ok.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/invariant"
 )
@@ -43,6 +44,9 @@
 	ReleaseAfter time.Duration
 	// Epoch is the zero of the agent's clock, on which Dispatch.StartBy is given.
 	Epoch time.Time
+	// Evacuations makes the agent refuse dispatches while entries say that its failure
+	// domain is evacuated.
+	Evacuations bool
 }
 
 // defaultEntrySilence equals the entry's own limit for a silent worker, so that
@@ -86,6 +90,7 @@
 	revision    uint64
 	outcomes    outcomeCounter
 	crashes     crashLog
+	evacuations evacuation.State
 	out         []Output
 }
 
@@ -246,6 +251,7 @@
 		Labels:        c.endpoint.labels,
 		Settled:       c.endpoint.settled,
 		Crashes:       c.crashes.unsent(c.now, e),
+		EvacuatedAt:   c.evacuatedAt(),
 	}
 }
 
--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -68,6 +68,8 @@
 		if m.Revision > c.revision {
 			c.emit(ApplyTable(m))
 		}
+	case msg.Evacuations:
+		c.applyEvacuations(now, m.Report)
 	}
 }
 
@@ -157,6 +159,8 @@
 	switch {
 	case d.AgentIncarnation != c.cfg.Incarnation:
 		return verdict.WrongIncarnation
+	case c.Evacuated():
+		return verdict.Evacuated
 	case c.Clock(now) > d.StartBy:
 		return verdict.StartByPassed
 	case c.stopping || e.draining() || !c.endpoint.accepts():
--- a/internal/core/agent/io.go
+++ b/internal/core/agent/io.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 )
 
@@ -168,14 +169,26 @@
 	Current, Late msg.Incarnation
 }
 
+// EvacuationChanged reports that the evacuation of the worker's failure domain has begun or
+// was withdrawn. While it is in force no attempt starts.
+type EvacuationChanged struct {
+	Evacuated bool
+	Version   uint64
+}
+
+// EvacuationRejected reports a state of a failure domain that was not applied.
+type EvacuationRejected struct{ Rejection evacuation.Rejection }
+
 // ApplyTable asks the driver to put a table revision in force.
 type ApplyTable struct{ Revision uint64 }
 
-func (Send) output()           {}
-func (Start) output()          {}
-func (StopTask) output()       {}
-func (EntrySeen) output()      {}
-func (OrphansStopped) output() {}
-func (ApplyTable) output()     {}
-func (CloseLink) output()      {}
-func (EntryConflict) output()  {}
+func (Send) output()               {}
+func (Start) output()              {}
+func (StopTask) output()           {}
+func (EntrySeen) output()          {}
+func (OrphansStopped) output()     {}
+func (ApplyTable) output()         {}
+func (CloseLink) output()          {}
+func (EntryConflict) output()      {}
+func (EvacuationChanged) output()  {}
+func (EvacuationRejected) output() {}
--- a/internal/core/lease/execution.go
+++ b/internal/core/lease/execution.go
@@ -101,6 +101,9 @@
 // refusal returns why no start is sent, or zero. An older attempt of the same
 // task is stopped first, so that the next try finds it gone.
 func (c *Core) refusal(in RunTask) verdict.RetryReason {
+	if c.evacuated {
+		return verdict.Evacuated
+	}
 	if !c.Ready() {
 		return verdict.WorkerLeaving
 	}
--- a/internal/core/lease/io.go
+++ b/internal/core/lease/io.go
@@ -53,6 +53,10 @@
 // clock of the caller. The worker is on the same VM, so that its clock may have stood still.
 type Suspended struct{ For time.Duration }
 
+// SetEvacuated says whether the worker's failure domain is evacuated. While it is, no start is
+// sent, and those that wait are refused. What runs goes on.
+type SetEvacuated struct{ Evacuated bool }
+
 // StopTask asks for an attempt to be stopped. Its Ended follows.
 type StopTask struct{ Attempt msg.AttemptID }
 
@@ -128,12 +132,13 @@
 	Kind   EndKind
 }
 
-func (Announced) input() {}
-func (RunTask) input()   {}
-func (StopTask) input()  {}
-func (OwnerSeen) input() {}
-func (Answer) input()    {}
-func (Suspended) input() {}
+func (Announced) input()    {}
+func (RunTask) input()      {}
+func (StopTask) input()     {}
+func (OwnerSeen) input()    {}
+func (Answer) input()       {}
+func (Suspended) input()    {}
+func (SetEvacuated) input() {}
 
 // Output is an action that the driver has to carry out.
 type Output interface{ output() }
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -137,8 +137,11 @@
 	owners   map[msg.Incarnation]*owner
 	// limited is set while the lease cannot be extended by minStartLease.
 	limited bool
-	byCall  map[uint64]call
-	out     []Output
+	// evacuated is set while the worker's failure domain is evacuated, whichever instance of
+	// the worker runs.
+	evacuated bool
+	byCall    map[uint64]call
+	out       []Output
 	instanceState
 }
 
@@ -275,6 +278,8 @@
 		c.suspended(in.For)
 	case Answer:
 		c.answer(in)
+	case SetEvacuated:
+		c.setEvacuated(in.Evacuated)
 	}
 	c.updateLimited()
 	c.startConfirmed()
@@ -348,7 +353,7 @@
 	c.refuseDelayed(verdict.WrongIncarnation)
 	c.abortAll()
 	fresh := New(c.cfg)
-	fresh.now, fresh.out, fresh.lastCall = c.now, c.out, c.lastCall
+	fresh.now, fresh.out, fresh.lastCall, fresh.evacuated = c.now, c.out, c.lastCall, c.evacuated
 	fresh.instanceState = newInstanceState(in.Instance, c.lastCall)
 	fresh.announcedLeaving = in.Leaving
 	*c = *fresh
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/health"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
@@ -152,6 +153,9 @@
 	// Crashes are recent crashes of the worker that the entry has not been told of on
 	// this link.
 	Crashes []WorkerCrash
+	// EvacuatedAt is the store version of the evacuation of the worker's failure domain, or
+	// zero if the agent knows of none.
+	EvacuatedAt uint64
 }
 
 // WorkerCrash is the end of a leased worker's instance, without notice, while tasks ran
@@ -339,6 +343,10 @@
 // more than all its heartbeats.
 type TableUpdate struct{ Revision uint64 }
 
+// Evacuations tells which failure domains are evacuated. It follows Welcome when there is
+// something to tell, and is sent again at each change.
+type Evacuations struct{ Report evacuation.Report }
+
 func (Hello) fromAgent()         {}
 func (Refused) fromAgent()       {}
 func (Result) fromAgent()        {}
@@ -355,3 +363,4 @@
 func (Ack) fromEntry()            {}
 func (EntryHeartbeat) fromEntry() {}
 func (TableUpdate) fromEntry()    {}
+func (Evacuations) fromEntry()    {}
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -57,6 +57,9 @@
 	// TooManyRequests means that the connection or the entry has too many
 	// requests in progress.
 	TooManyRequests
+	// AllEvacuated means that every worker of the service that is linked is in an evacuated
+	// failure domain.
+	AllEvacuated
 
 	// Failures; the answer carries the verdict.
 	DeadlineExceeded
@@ -92,6 +95,7 @@
 	"deadline_passed", "duplicate_job", "key_conflict",
 	"no_table", "no_workers", "never_runnable", "queue_full",
 	"would_miss_deadline", "over_quota", "draining", "too_many_requests",
+	"all_evacuated",
 	"deadline_exceeded", "key_unavailable", "cancelled", "endpoint_error", "endpoint_failed",
 	"worker_lost", "retries_exhausted", "stopped",
 	"result_dropped", "entry_paused", "worker_crashed",
@@ -150,6 +154,8 @@
 	EndpointFailure
 	// Crash means that the attempt's worker crashed, perhaps because of it.
 	Crash
+	// Evacuated means that the worker's failure domain is evacuated.
+	Evacuated
 
 	retryReasonEnd
 )
@@ -158,7 +164,7 @@
 	"unspecified", "no_slot", "start_by_passed", "worker_leaving",
 	"wrong_incarnation", "wrong_service", "attempt_revoked", "not_reached",
 	"never_started", "task_present", "stale_run", "aborted", "endpoint_failure",
-	"crash",
+	"crash", "evacuated",
 }
 
 // String returns the name used on the wire, in logs and in metrics.
--- a/internal/linkpb/agent.go
+++ b/internal/linkpb/agent.go
@@ -106,7 +106,7 @@
 		Service: m.Service, Slots: uint32(m.Slots), Report: encodeSlots(m.Report),
 		Connections: uint32(m.Connections), Revision: m.Revision, Leaving: m.Leaving,
 		Size: EncodeSize(m.Size), ReleaseAfterNs: int64(m.ReleaseAfter), Labels: m.Labels, Settled: m.Settled,
-		Crashes: encodeCrashes(m.Crashes),
+		Crashes: encodeCrashes(m.Crashes), EvacuatedAt: m.EvacuatedAt,
 	}
 }
 
@@ -164,7 +164,7 @@
 		Slots: int(h.GetSlots()), Report: decodeSlots(h.GetReport()), Connections: int(h.GetConnections()),
 		Revision: h.GetRevision(), Leaving: h.GetLeaving(), Size: DecodeSize(h.GetSize()),
 		ReleaseAfter: time.Duration(h.GetReleaseAfterNs()), Labels: h.GetLabels(), Settled: h.GetSettled(),
-		Crashes: decodeCrashes(h.GetCrashes()),
+		Crashes: decodeCrashes(h.GetCrashes()), EvacuatedAt: h.GetEvacuatedAt(),
 	}, nil
 }
 
--- a/internal/linkpb/entry.go
+++ b/internal/linkpb/entry.go
@@ -30,6 +30,8 @@
 		}}}
 	case msg.TableUpdate:
 		return &pb.EntryMessage{Message: &pb.EntryMessage_Table{Table: &pb.TableUpdate{Revision: m.Revision}}}
+	case msg.Evacuations:
+		return &pb.EntryMessage{Message: &pb.EntryMessage_Table{Table: &pb.TableUpdate{Evacuations: EncodeEvacuations(m.Report)}}}
 	}
 	panic("linkpb: unknown entry message")
 }
@@ -66,6 +68,9 @@
 			Claim: decodeClaim(m.Heartbeat.GetClaim()), EchoedClock: time.Duration(m.Heartbeat.GetHeardNs()),
 		}, nil
 	case *pb.EntryMessage_Table:
+		if e := m.Table.GetEvacuations(); e != nil {
+			return msg.Evacuations{Report: DecodeEvacuations(e)}, nil
+		}
 		return msg.TableUpdate{Revision: m.Table.GetRevision()}, nil
 	}
 	return nil, ErrMalformed.New("entry message of unknown kind")
--- a/internal/linkpb/fuzz_test.go
+++ b/internal/linkpb/fuzz_test.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/linkpb"
 	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
@@ -58,6 +59,7 @@
 	id := msg.AttemptID{Entry: 1, Job: 2, Task: 3, Attempt: 4}
 	for _, m := range []msg.FromEntry{
 		msg.Welcome{Entry: "e", Incarnation: 1},
+		msg.Evacuations{Report: evacuation.Report{ListedAt: 9, Domains: []evacuation.Domain{{Name: "z", Evacuated: true, Version: 8}}}},
 		msg.Dispatch{Attempt: id, AgentIncarnation: 1, Service: "s", Payload: []byte("p")},
 		msg.Revoke{Attempts: []msg.AttemptRef{{Attempt: id}}},
 		msg.Ack{Attempts: []msg.AttemptID{id}},
--- a/internal/linkpb/linkpb_test.go
+++ b/internal/linkpb/linkpb_test.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/linkpb"
@@ -28,7 +29,7 @@
 			Worker: "w", FailureDomain: "d", Incarnation: 9, Service: "s", Slots: 8, Report: report,
 			Connections: 64, Size: msg.Size{Cores: 1.5, MemoryBytes: 2, Accelerators: 3}, Revision: 10, Leaving: true,
 			ReleaseAfter: time.Second, Labels: []string{"a", "r1"}, Settled: true,
-			Crashes: []msg.WorkerCrash{{Instance: 7, Tasks: []msg.CrashedTask{{Name: "t.0.0.1", JobType: "quote", RunTime: time.Millisecond, Unconfirmed: true}}}},
+			Crashes: []msg.WorkerCrash{{Instance: 7, Tasks: []msg.CrashedTask{{Name: "t.0.0.1", JobType: "quote", RunTime: time.Millisecond, Unconfirmed: true}}}}, EvacuatedAt: 12,
 		},
 		msg.Refused{Attempt: id, Reason: verdict.NoSlot, Report: report},
 		msg.Result{Attempt: id, Kind: msg.ResultOK, Payload: []byte("p"), RunTime: time.Second, Report: report},
@@ -63,6 +64,8 @@
 		msg.Ack{Attempts: []msg.AttemptID{id}},
 		msg.EntryHeartbeat{EchoedClock: 9, Seq: 5, Revision: 6, Acks: []msg.AttemptID{id}, Claim: msg.Claim{Waiting: 7, Unfinished: 8}},
 		msg.TableUpdate{Revision: 7},
+		msg.Evacuations{Report: evacuation.Report{ListedAt: 9, Domains: []evacuation.Domain{{Name: "z", Evacuated: true, Version: 8}, {Name: "y", Version: 7}}}},
+		msg.Evacuations{},
 	} {
 		t.Run(fmt.Sprintf("%T", m), func(t *testing.T) {
 			var decoded pb.EntryMessage
@@ -80,6 +83,15 @@
 	qt.Assert(t, proto.Unmarshal(raw, to), qt.IsNil)
 }
 
+// Guards against evacuations that an agent of an earlier version cannot read, which would end
+// its link: it reads the message as the announcement of a table revision, which has to be older
+// than any.
+func TestEarlierAgentReadsEvacuationsAsNoRevision(t *testing.T) {
+	m := linkpb.EncodeFromEntry(msg.Evacuations{Report: evacuation.Report{ListedAt: 9}})
+	qt.Assert(t, m.GetTable(), qt.IsNotNil)
+	qt.Assert(t, m.GetTable().GetRevision(), qt.Equals, uint64(0))
+}
+
 // Guards against malformed input that is decoded as a valid message.
 func TestMalformedMessagesAreRejected(t *testing.T) {
 	for _, p := range []*pb.AgentMessage{
--- a/proto/poplarlever/v1/poplarleverv1connect/peer.connect.go
+++ b/proto/poplarlever/v1/poplarleverv1connect/peer.connect.go
@@ -41,8 +41,8 @@
 
 // PeerClient is a client for the poplarlever.v1.Peer service.
 type PeerClient interface {
-	// Exchange tells each side the other's table revision and the entries that
-	// it knows.
+	// Exchange tells each side the other's table revision, the entries that it knows and
+	// the evacuated failure domains.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	// CancelJob cancels a job if the receiving process has it. The receiver never
 	// passes the call on.
@@ -93,8 +93,8 @@
 
 // PeerHandler is an implementation of the poplarlever.v1.Peer service.
 type PeerHandler interface {
-	// Exchange tells each side the other's table revision and the entries that
-	// it knows.
+	// Exchange tells each side the other's table revision, the entries that it knows and
+	// the evacuated failure domains.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	// CancelJob cancels a job if the receiving process has it. The receiver never
 	// passes the call on.
