Exclude the workers of evacuated failure domains at the entry

A worker of an evacuated domain gets no task and counts nowhere as capacity: not for placement, forecasts and reserves, quarantine quotas and cells. Agents are told after Welcome and at each change. An agent that holds an evacuation which this process has never seen is answered once a complete state is known that is newer. A worker whose agent refuses a task for an evacuation that the entry does not know of gets none for a second.

When every linked worker of a service is evacuated, its jobs are refused on arrival and while they wait, with all_evacuated, the verdict not run and a Retry-After of 1 to 2 s. A job of which a task may have run goes on waiting.

Each of usable, applyHello, peerRecord, markCells, refuseEvacuated and the pause after a refusal was taken out in turn; a test failed each time.

--- a/internal/core/entry/crashes.go
+++ b/internal/core/entry/crashes.go
@@ -101,7 +101,7 @@
 	members := make(map[string][]*worker)
 	for _, w := range c.workers.list {
 		w.inCell = false
-		if w.hello.Leased() && c.crashes.Confining(w.hello.Service) {
+		if w.hello.Leased() && !w.evacuated && c.crashes.Confining(w.hello.Service) {
 			members[w.hello.Service] = append(members[w.hello.Service], w)
 		}
 	}
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/crashlog"
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/limits"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
@@ -110,7 +111,10 @@
 	// messageDelay is the mean delay of the latest messages from agents, in seconds.
 	messageDelay float64
 	latestDelay  time.Duration
-	draining     bool
+	evacuations  evacuation.State
+	// evacuating is set while the evacuation of a failure domain is in force.
+	evacuating bool
+	draining   bool
 	// drainUntil is when this process stops; set while draining.
 	drainUntil time.Time
 	out        []Output
@@ -182,6 +186,8 @@
 		c.applyAllotments()
 	case SetPeers:
 		c.setPeers(in)
+	case SetEvacuations:
+		c.setEvacuations(now, in.Report)
 	case BeginDrain:
 		c.draining, c.drainUntil = true, in.Until
 	case StopNow:
@@ -200,6 +206,8 @@
 	c.fireTimers(now)
 	c.sendPeers(now)
 	c.checkWorkers(now)
+	c.expireEvacuationRefusals(now)
+	c.refuseEvacuated()
 	c.checkOverdue(now)
 	c.dispatchQueued(now)
 	c.flushRevokes(now)
--- a/internal/core/entry/health.go
+++ b/internal/core/entry/health.go
@@ -42,7 +42,7 @@
 // updateHealth applies the outcomes in a worker's newest report.
 func (c *Core) updateHealth(now time.Time, w *worker) {
 	failed := w.health.Observe(now, w.outcomes)
-	if failed && !w.health.Quarantined() {
+	if failed && !w.health.Quarantined() && !w.evacuated {
 		if peers, workers, quarantined := c.peerRecord(w); health.MayQuarantine(workers, quarantined) && w.health.Failing(peers) {
 			w.health.Quarantine(now)
 			c.emit(WorkerJudged{Worker: w.name, Health: verdict.Failing})
@@ -70,7 +70,7 @@
 // of its workers and how many of them are quarantined.
 func (c *Core) peerRecord(of *worker) (peers health.Rate, workers, quarantined int) {
 	for _, w := range c.workers.list {
-		if w.hello.Service != of.hello.Service || !w.linked() {
+		if w.hello.Service != of.hello.Service || !w.linked() || w.evacuated {
 			continue
 		}
 		workers++
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
@@ -54,6 +55,10 @@
 	Peers []msg.Peer
 }
 
+// SetEvacuations adds what this process knows of evacuated failure domains. Newer states that
+// were set before stay in force.
+type SetEvacuations struct{ Report evacuation.Report }
+
 // BeginDrain makes the core refuse the jobs that cannot be expected to be answered before
 // Until, when the process stops.
 type BeginDrain struct{ Until time.Time }
@@ -61,16 +66,17 @@
 // StopNow fails every job that has no answer.
 type StopNow struct{}
 
-func (Submit) input()        {}
-func (Cancel) input()        {}
-func (LinkUp) input()        {}
-func (LinkDown) input()      {}
-func (Received) input()      {}
-func (SetPolicy) input()     {}
-func (SetAllotments) input() {}
-func (SetPeers) input()      {}
-func (BeginDrain) input()    {}
-func (StopNow) input()       {}
+func (Submit) input()         {}
+func (Cancel) input()         {}
+func (LinkUp) input()         {}
+func (LinkDown) input()       {}
+func (Received) input()       {}
+func (SetPolicy) input()      {}
+func (SetAllotments) input()  {}
+func (SetPeers) input()       {}
+func (SetEvacuations) input() {}
+func (BeginDrain) input()     {}
+func (StopNow) input()        {}
 
 // Job is a job as a caller submits it.
 type Job struct {
@@ -192,17 +198,25 @@
 	Confined         bool
 }
 
-func (Send) output()             {}
-func (CloseLink) output()        {}
-func (Answered) output()         {}
-func (Progress) output()         {}
-func (Retried) output()          {}
-func (WorkerConflict) output()   {}
-func (WorkerJudged) output()     {}
-func (JobTypeConfined) output()  {}
-func (AttemptsReleased) output() {}
-func (JobEnding) output()        {}
-func (ResultAfterEnd) output()   {}
+// EvacuationChanged reports that the evacuation of a failure domain has begun or was
+// withdrawn. Workers is the number of known workers there; without any it has no effect.
+type EvacuationChanged struct {
+	evacuation.Domain
+	Workers int
+}
+
+func (Send) output()              {}
+func (CloseLink) output()         {}
+func (Answered) output()          {}
+func (Progress) output()          {}
+func (Retried) output()           {}
+func (WorkerConflict) output()    {}
+func (WorkerJudged) output()      {}
+func (JobTypeConfined) output()   {}
+func (EvacuationChanged) output() {}
+func (AttemptsReleased) output()  {}
+func (JobEnding) output()         {}
+func (ResultAfterEnd) output()    {}
 
 // Outcome says how a job ended.
 type Outcome uint8
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -109,6 +109,10 @@
 		c.emit(Answered{Job: spec.ID, Answer: answer})
 		return
 	}
+	if c.allEvacuated(spec.Service) {
+		c.emit(Answered{Job: spec.ID, Answer: c.evacuatedAnswer(Refused)})
+		return
+	}
 	j := &job{spec: spec, tasks: make([]task, len(spec.Tasks)), unfinished: len(spec.Tasks)}
 	j.policy, j.submittedAt = c.policy.Services[spec.Service].JobTypes[spec.JobType], now
 	j.timer = timer{job: j, index: -1}
--- a/internal/core/entry/snapshot.go
+++ b/internal/core/entry/snapshot.go
@@ -21,6 +21,8 @@
 	Workers      []WorkerSnapshot
 	Accounts     []AccountSnapshot
 	Peers        []msg.Peer
+	// Evacuated lists the evacuations in force.
+	Evacuated []EvacuationChanged
 }
 
 // WorkerSnapshot is the entry's view of one worker.
@@ -28,7 +30,7 @@
 	Name          string
 	FailureDomain string
 	Service       string
-	// State is one of up, suspect, leaving and unlinked.
+	// State is one of up, evacuated, suspect, leaving and unlinked.
 	State       string
 	Slots       int
 	Free        int
@@ -53,6 +55,7 @@
 		Revision: c.policy.Revision, Jobs: len(c.jobs), QueuedTasks: c.queue.tasks,
 		RunningTasks: len(c.attempts), Links: len(c.workers.byLink), Draining: c.draining,
 		MessageDelay: c.MessageDelay(), Workers: c.workerSnapshots(), Accounts: c.accountSnapshots(), Peers: slices.Clone(c.peers),
+		Evacuated: c.evacuationsInForce(),
 	}
 }
 
@@ -72,8 +75,11 @@
 	out := make([]WorkerSnapshot, 0, len(c.workers.list))
 	for _, w := range c.workers.list {
 		state := w.state.String()
-		if !w.linked() {
+		switch {
+		case !w.linked():
 			state = "unlinked"
+		case w.evacuated && w.state == workerUp:
+			state = "evacuated"
 		}
 		out = append(out, WorkerSnapshot{
 			Name: w.name, FailureDomain: w.hello.FailureDomain, Service: w.hello.Service, State: state,
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -53,6 +53,10 @@
 	crashed bool
 	// suspects counts the outstanding attempts of tasks under which a worker crashed before.
 	suspects int
+	// evacuated is set while the worker's failure domain is evacuated. refusedUntil is set after
+	// the agent has refused a task for that reason although the entry did not know.
+	evacuated    bool
+	refusedUntil time.Time
 	// inCell is set for a worker that tasks of confined job types may use.
 	inCell bool
 	// reported is when the newest report arrived.
@@ -94,7 +98,7 @@
 func (w *worker) described() bool { return w.hello.Slots > 0 || w.hello.Size != msg.Size{} }
 
 func (w *worker) usable() bool {
-	return w.linked() && w.state == workerUp && (w.hello.Leased() || w.free+w.spare > 0)
+	return w.linked() && w.state == workerUp && !w.evacuated && w.refusedUntil.IsZero() && (w.hello.Leased() || w.free+w.spare > 0)
 }
 
 // clockAt estimates the agent's clock. The estimate is never ahead of the real clock,
@@ -293,6 +297,7 @@
 	}
 	c.recordContact(now, w, in.Clock)
 	c.sendTo(now, w, c.welcome())
+	c.sendEvacuationsTo(now, w)
 	if w.revision < c.policy.Revision {
 		c.sendTable(now, w)
 	}
@@ -344,6 +349,7 @@
 		w.state = workerLeaving
 	}
 	w.crashed = w.crashed && h.Leaving
+	w.evacuated = c.evacuations.Evacuated(h.FailureDomain)
 	c.noteCrashes(now, w, h.Crashes)
 	c.markCells()
 }
@@ -369,9 +375,11 @@
 	case msg.Hello:
 		if m.Worker == w.name && m.Incarnation == w.incarnation {
 			c.applyHello(now, w, m)
+			c.correctEvacuation(now, w)
 		}
 	case msg.Refused:
 		w.report(m.Report)
+		w.noteRefusal(now, m.Reason)
 		if m.Reason == verdict.NoSlot {
 			c.workers.discardStaleReports(now, w.hello.Service)
 		}
--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -99,7 +99,8 @@
 		applied, err := s.apply(d)
 		switch {
 		case err != nil:
-			complete = false
+			// What no store can have is never in force, so that the rest is complete.
+			complete = complete && !errorx.IsOfType(err, ErrFull)
 			if s.firstRejection(d) {
 				rejected = append(rejected, Rejection{d, err})
 			}
--- a/internal/core/evacuation/evacuation_test.go
+++ b/internal/core/evacuation/evacuation_test.go
@@ -166,7 +166,7 @@
 	for _, r := range rejected {
 		c.Check(errorx.IsOfType(r.Err, evacuation.ErrInvalid), qt.IsTrue)
 	}
-	c.Check(s.Report(), qt.DeepEquals, evacuation.Report{Domains: []evacuation.Domain{on("a", 4)}})
+	c.Check(s.Report(), qt.DeepEquals, evacuation.Report{Domains: []evacuation.Domain{on("a", 4)}, ListedAt: 6})
 	_, rejected = s.Merge(evacuation.Report{Domains: []evacuation.Domain{invalid[1]}})
 	c.Check(rejected, qt.HasLen, 0)
 	s.Merge(evacuation.Report{ListedAt: math.MaxUint64})
