--- a/internal/core/agent/evacuation.go
+++ b/internal/core/agent/evacuation.go
@@ -37,7 +37,7 @@
 	}
 	for _, change := range changes {
 		if change.Flipped && change.Name == c.cfg.FailureDomain {
-			c.emit(EvacuationChanged{Evacuated: change.Evacuated, Version: change.Version})
+			c.emit(EvacuationChanged{change.Domain})
 		}
 	}
 	if c.evacuatedAt() != before {
--- a/internal/core/agent/io.go
+++ b/internal/core/agent/io.go
@@ -171,10 +171,7 @@
 
 // EvacuationChanged reports that the evacuation of the worker's failure domain has begun or
 // was withdrawn. While it is in force no attempt starts.
-type EvacuationChanged struct {
-	Evacuated bool
-	Version   uint64
-}
+type EvacuationChanged struct{ evacuation.Domain }
 
 // EvacuationRejected reports a state of a failure domain that was not applied.
 type EvacuationRejected struct{ Rejection evacuation.Rejection }
--- a/internal/core/lease/confirm.go
+++ b/internal/core/lease/confirm.go
@@ -81,14 +81,6 @@
 	c.toStart = nil
 }
 
-// setEvacuated records whether the worker's failure domain is evacuated. A start that is under
-// way to the worker may still be carried out until the end of the lease that it names.
-func (c *Core) setEvacuated(evacuated bool) {
-	if c.evacuated = evacuated; evacuated {
-		c.refuseDelayed(verdict.Evacuated)
-	}
-}
-
 // withdraw ends an attempt that has to stop before its start was sent.
 func (c *Core) withdraw(id msg.AttemptID) {
 	i := slices.IndexFunc(c.toStart, func(d delayedStart) bool { return d.Attempt == id })
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -279,7 +279,9 @@
 	case Answer:
 		c.answer(in)
 	case SetEvacuated:
-		c.setEvacuated(in.Evacuated)
+		// startConfirmed refuses the starts that wait. One that is under way to the worker may
+		// still be carried out until the end of the lease that it names.
+		c.evacuated = in.Evacuated
 	}
 	c.updateLimited()
 	c.startConfirmed()
