Spread evacuations from the store to entries and agents

Entries take evacuations from the watch and the poll of the store and from each other: both sides of an exchange carry them, and a change is pushed like a new table revision. A starting entry has them before its first policy, so that it accepts no job earlier. Requests in a listing need no further read. A value that cannot be used is logged once for each version, counted, and blocks nothing.

A stale evacuation from a process that has missed the withdrawal is ignored where the state is complete at a later version.

go test -race -count=60 ./internal/entryd -run 'Evacuat|Withdrawal': ok. The push, the deletions of the mirror, the version of the listing and each direction of the exchange were taken out in turn; a test failed each time.

--- a/internal/agentd/leased.go
+++ b/internal/agentd/leased.go
@@ -11,6 +11,7 @@
 	"github.com/poplarlever/poplarlever/internal/core/agent"
 	"github.com/poplarlever/poplarlever/internal/core/lease"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/hostport"
 	"github.com/poplarlever/poplarlever/internal/logevent"
 )
@@ -129,6 +130,9 @@
 func (d *leasedDriver) attemptEnded(now time.Time, e lease.Ended) {
 	if d.loop.metrics != nil {
 		d.loop.metrics.TaskEnded(e.Kind)
+		if e.Reason == verdict.Evacuated {
+			d.loop.metrics.Retried(e.Reason)
+		}
 	}
 	d.loop.core.Step(now, agent.TaskEnded{Attempt: e.Attempt, Kind: e.Kind, RunTime: e.RunTime})
 }
--- a/internal/agentd/loop.go
+++ b/internal/agentd/loop.go
@@ -159,6 +159,10 @@
 			logevent.OrphansStopped.Log(l.log, zap.Uint64("entry_incarnation", uint64(out.Entry)), zap.Int("attempts", out.Attempts))
 		case agent.StopTask:
 			l.leased.core.Step(l.now(), lease.StopTask{Attempt: out.Attempt})
+		case agent.EvacuationChanged:
+			l.evacuationChanged(out)
+		case agent.EvacuationRejected:
+			l.evacuationRejected(out.Rejection)
 		case agent.ApplyTable:
 			l.core.Step(l.now(), agent.RevisionChanged(out))
 			l.revision.Store(max(l.revision.Load(), out.Revision))
--- a/internal/agentd/metrics.go
+++ b/internal/agentd/metrics.go
@@ -35,6 +35,7 @@
 		result <- telemetry.Gauges{
 			RunningTasks: core.Running(), FreeSlots: core.Free(),
 			Links: len(d.loop.links), Revision: core.Hello().Revision,
+			EvacuatedDomains: core.EvacuatedDomains(),
 		}
 	}) {
 		return telemetry.Gauges{}, false
--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -95,6 +95,9 @@
 	named := make(map[string]bool, len(r.Domains))
 	for _, d := range r.Domains {
 		named[d.Name] = true
+		if r.ListedAt < s.listedAt && s.withdrawnBefore(d) {
+			continue
+		}
 		before := s.domains[d.Name].Evacuated
 		applied, err := s.apply(d)
 		switch {
@@ -146,6 +149,13 @@
 	return true, nil
 }
 
+// withdrawnBefore reports whether an evacuation is unknown although the state is complete at
+// its version or a later one: it was withdrawn before this process learned of it.
+func (s *State) withdrawnBefore(d Domain) bool {
+	_, known := s.domains[d.Name]
+	return !known && d.Evacuated && d.Version <= s.listedAt && !s.overflowed
+}
+
 // makeRoom drops the oldest withdrawn evacuation if the new state is worth more: it is an
 // evacuation, or a newer withdrawal. An evacuated domain is never dropped.
 func (s *State) makeRoom(d Domain) bool {
--- a/internal/entryd/exchange.go
+++ b/internal/entryd/exchange.go
@@ -72,7 +72,8 @@
 	}
 }
 
-// pushLoop pushes each new revision to a few of the entries that have not reported it.
+// pushLoop pushes each new revision, and each change of an evacuation, to a few of the
+// entries that have not reported it.
 func (p *Platform) pushLoop(ctx context.Context) {
 	for {
 		select {
@@ -87,13 +88,16 @@
 	}
 }
 
-// outdatedAddresses returns the addresses that have not reported the revision in force.
+// outdatedAddresses returns the addresses that have not reported the revision in force or the
+// newest evacuation.
 func (p *Platform) outdatedAddresses() []string {
 	addresses := p.peerAddresses()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	revision := p.inForce.Content().Revision
-	return slices.DeleteFunc(addresses, func(a string) bool { return p.revisions[a] >= revision })
+	revision, evacuations := p.inForce.Content().Revision, p.evacuations.Version()
+	return slices.DeleteFunc(addresses, func(a string) bool {
+		return p.revisions[a] >= revision && p.evacuationVersions[a] >= evacuations
+	})
 }
 
 // sample returns n of the addresses at random, or all when there are fewer. It shuffles
@@ -147,7 +151,7 @@
 func (p *Platform) newRequest(withEntries bool) *pb.ExchangeRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	req := &pb.ExchangeRequest{Self: encodeMember(p.cfg.Self), Revision: p.inForce.Content().Revision}
+	req := &pb.ExchangeRequest{Self: encodeMember(p.cfg.Self), Revision: p.inForce.Content().Revision, Evacuations: p.encodeEvacuations()}
 	if withEntries {
 		req.Entries = encodeMembers(p.members.Known(time.Now()))
 	}
@@ -171,9 +175,11 @@
 	GetRevision() uint64
 	GetEntries() []*pb.PeerEntry
 	GetTable() *pb.TableContent
+	GetEvacuations() *pb.Evacuations
 }
 
-// recordExchange records what the entry at the address sent, and applies its table.
+// recordExchange records what the entry at the address sent, and applies its table and its
+// evacuations.
 func (p *Platform) recordExchange(address string, m exchangeMessage) {
 	p.mu.Lock()
 	now := time.Now()
@@ -184,6 +190,7 @@
 		p.members.Mention(now, decodeMembers(entries))
 	}
 	p.revisions[address] = m.GetRevision()
+	p.mergePeerEvacuations(address, m.GetEvacuations())
 	p.refreshPeers(now)
 	p.mu.Unlock()
 	if t := m.GetTable(); t != nil {
@@ -199,10 +206,11 @@
 func (p *Platform) answerExchange(req *pb.ExchangeRequest) *pb.ExchangeResponse {
 	p.recordExchange(req.GetSelf().GetAddress(), req)
 	resp := &pb.ExchangeResponse{Self: encodeMember(p.cfg.Self), Revision: p.Revision(), Table: p.tableIfNewer(req.GetRevision())}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	resp.Evacuations = p.encodeEvacuations()
 	if len(req.GetEntries()) > 0 || req.GetRevision() == 0 {
-		p.mu.Lock()
 		resp.Entries = encodeMembers(p.members.Known(time.Now()))
-		p.mu.Unlock()
 	}
 	return resp
 }
--- a/internal/entryd/join.go
+++ b/internal/entryd/join.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/poplarlever/poplarlever/internal/core/entry"
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/proto/poplarlever/v1/poplarleverv1connect"
 )
@@ -21,6 +22,7 @@
 		d.peers.set(peers)
 		d.loop.step(entry.SetPeers{Self: self, Peers: peers})
 	}
+	p.setEvacuations = func(r evacuation.Report) { d.loop.step(entry.SetEvacuations{Report: r}) }
 	p.cancelHere = d.jobs.cancelNamed
 	d.server.Handle(poplarleverv1connect.NewPeerHandler(p))
 }
--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -162,6 +162,9 @@
 				zap.Int("attempts", out.Attempts), zap.Int64("silence_ms", out.Silence.Milliseconds()))
 		case entry.JobTypeConfined:
 			logevent.JobTypeConfined.Log(l.log, zap.String("service", out.Service), zap.String("job_type", out.JobType), zap.Bool("confined", out.Confined))
+		case entry.EvacuationChanged:
+			logevent.EvacuationChanged.Log(l.log, zap.String("domain", out.Name), zap.Bool("evacuated", out.Evacuated),
+				zap.Uint64("version", out.Version), zap.Int("workers", out.Workers))
 		case entry.JobEnding:
 			if w, ok := l.waiters[out.Job]; ok {
 				logevent.JobEnding.Log(l.log, zap.String("job", w.name), zap.Stringer("reason", out.Reason),
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -65,6 +65,7 @@
 		MessageDelay: s.MessageDelay, Links: s.Links, Revision: s.Revision, StoreReachable: d.storeReachable(),
 	}
 	report := d.tableReport()
+	g.EvacuatedDomains = len(s.Evacuated)
 	g.UnappliedValues, g.TableRejected = report.unapplied, report.rejected != ""
 	for _, w := range s.Workers {
 		g.FreeSlots += w.Free
--- a/internal/entryd/platform.go
+++ b/internal/entryd/platform.go
@@ -15,6 +15,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/entry"
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/logevent"
@@ -50,12 +51,17 @@
 	TLS   *tls.Config
 	Log   *zap.Logger
 	Hooks PlatformHooks
+	// Evacuations makes the entry follow the evacuations of failure domains and pass them
+	// on.
+	Evacuations bool
 }
 
 // PlatformHooks are called for metrics; each may be nil and must not block.
 type PlatformHooks struct {
 	InForce  func(revision uint64)
 	Rejected func(revision uint64)
+	// EvacuationRejected is called for each state of a failure domain that cannot be used.
+	EvacuationRejected func()
 	// StoreCall is called after each call to the store, with its error.
 	StoreCall func(err error)
 }
@@ -73,6 +79,8 @@
 	cancelHere  func(name jobName, uniqueName bool) bool
 	applyPolicy func(entry.Policy)
 	setPeers    func([]msg.Peer)
+	// setEvacuations passes on what is known of evacuations after each change.
+	setEvacuations func(evacuation.Report)
 
 	// storeState is the outcome of the last call to the store.
 	storeState atomic.Uint32
@@ -94,6 +102,10 @@
 	// revisions holds the revision that each address reported last.
 	revisions  map[string]uint64
 	duplicates []string
+	// evacuations merges what the store and the other entries tell; evacuationVersions holds
+	// the newest version that each address reported last.
+	evacuations        evacuation.State
+	evacuationVersions map[string]uint64
 	// malformed holds the versions of the keys among the entries that cannot be used.
 	malformed map[string]uint64
 	// olderAskedAt is when an older process of this name was last asked for an answer.
@@ -102,7 +114,8 @@
 	// decoded.
 	undecodableVersion uint64
 	retryBudget        store.Budget
-	// revisionChanged has a value after a newer revision came into force.
+	// revisionChanged has a value after a newer revision came into force or an evacuation
+	// changed.
 	revisionChanged chan struct{}
 }
 
@@ -115,9 +128,9 @@
 	return &Platform{
 		cancelAt: newCancel(client, unpooled, cfg.TLS != nil), cancelHere: func(jobName, bool) bool { return false },
 		cfg: cfg, client: client, olderDuplicate: make(chan membership.Member, 1), exchange: newExchange(client, cfg.TLS != nil),
-		applyPolicy: func(entry.Policy) {}, setPeers: func([]msg.Peer) {},
+		applyPolicy: func(entry.Policy) {}, setPeers: func([]msg.Peer) {}, setEvacuations: func(evacuation.Report) {},
 		seeds: cfg.Seeds, mirror: membership.NewMirror(), members: membership.New(cfg.Self), buffering: true,
-		revisions: make(map[string]uint64), revisionChanged: make(chan struct{}, 1),
+		revisions: make(map[string]uint64), evacuationVersions: make(map[string]uint64), revisionChanged: make(chan struct{}, 1),
 		retryBudget: store.Budget{PerSecond: retryRate, Burst: retryBurst},
 	}
 }
@@ -257,10 +270,15 @@
 		if p.cfg.Hooks.InForce != nil {
 			p.cfg.Hooks.InForce(c.Revision)
 		}
-		select {
-		case p.revisionChanged <- struct{}{}:
-		default:
-		}
+		p.requestPush()
+	}
+}
+
+// requestPush makes pushLoop tell other entries of a change.
+func (p *Platform) requestPush() {
+	select {
+	case p.revisionChanged <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/entryd/storewatch.go
+++ b/internal/entryd/storewatch.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	p.updateMirror(func() bool { return p.mirror.Load(listing) })
+	p.updateMirror(listing.Version, func() bool { return p.mirror.Load(listing) })
 	return nil
 }
 
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	p.updateMirror(func() bool { return p.mirror.Apply(changes) })
+	p.updateMirror(0, func() bool { return p.mirror.Apply(changes) })
 	if len(changes.Entries)+len(changes.Deleted) > 0 && changes.Version <= after {
 		return store.ErrUnavailable.New("the watch returned changes that are not new")
 	}
@@ -100,10 +100,11 @@
 		return err
 	}
 	var fetch []string
-	p.updateMirror(func() bool {
+	p.updateMirror(listing.Version, func() bool {
+		requested := p.putEvacuations(listing)
 		var removed bool
 		fetch, removed = p.mirror.Missing(listing)
-		return removed
+		return removed || requested
 	})
 	for _, key := range fetch {
 		e, err := p.cfg.Store.Get(ctx, key)
@@ -114,17 +115,24 @@
 		if err != nil {
 			return err
 		}
-		p.updateMirror(func() bool { return p.mirror.Put(e) })
+		p.updateMirror(0, func() bool { return p.mirror.Put(e) })
 	}
 	return nil
 }
 
 // updateMirror changes the mirror and applies what is new in it. change reports whether
-// the mirror has changed.
-func (p *Platform) updateMirror(change func() bool) {
+// the mirror has changed. listedAt is the version of the listing that it applies, zero if it
+// applies none.
+func (p *Platform) updateMirror(listedAt uint64, change func() bool) {
 	p.mu.Lock()
 	now := time.Now()
+	if listedAt < p.mirror.Version() {
+		listedAt = 0
+	}
 	changed := change()
+	if changed || listedAt > 0 {
+		p.mergeStoredEvacuations(listedAt)
+	}
 	if changed {
 		p.members.SetListed(now, p.listedMembers())
 	} else {
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -51,6 +51,8 @@
 	revision            = define("poplarlever_table_revision", Gauge, "revision", "", "Table revision in force in this process.", bothRoles)
 	unapplied           = define("poplarlever_table_values_unapplied", Gauge, "values", "", "Values of the table in force that this entry cannot apply as they are written.", Entry)
 	tableRejected       = define("poplarlever_table_rejected", Gauge, "boolean", "", "1 while the newest table that this entry has seen is not in force, because it cannot be read as a table.", Entry)
+	evacuatedDomains    = define("poplarlever_evacuated_domains", Gauge, "domains", "", "Failure domains whose evacuation is in force in this process.", bothRoles)
+	evacuationsRejected = define("poplarlever_evacuations_rejected_total", Counter, "values", "", "Requests to evacuate a failure domain that the process received and cannot use.", bothRoles)
 	storeReachable      = define("poplarlever_store_reachable", Gauge, "boolean", "", "1 when the latest call to the store succeeded, 0 otherwise or without a store.", Entry)
 	linkMessages        = define("poplarlever_link_messages_total", Counter, "messages", "kind, direction", "Messages on links.", bothRoles)
 	linkBytes           = define("poplarlever_link_bytes_total", Counter, "bytes", "kind, direction", "Bytes of messages on links, without framing.", bothRoles)
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -22,6 +22,8 @@
 	UnappliedValues int
 	// TableRejected is set while the newest table is not in force.
 	TableRejected bool
+	// EvacuatedDomains is the number of failure domains whose evacuation is in force.
+	EvacuatedDomains int
 	// MessageDelay is how late the entry reads the messages of its agents.
 	MessageDelay time.Duration
 }
@@ -30,16 +32,17 @@
 // false when the process is stopping; no gauge is exported then.
 func (m *Metrics) Observe(read func(context.Context) (Gauges, bool)) error {
 	values := map[Definition]func(Gauges) int64{
-		queued:         func(g Gauges) int64 { return int64(g.QueuedTasks) },
-		running:        func(g Gauges) int64 { return int64(g.RunningTasks) },
-		openJobs:       func(g Gauges) int64 { return int64(g.OpenJobs) },
-		freeSlots:      func(g Gauges) int64 { return int64(g.FreeSlots) },
-		links:          func(g Gauges) int64 { return int64(g.Links) },
-		revision:       func(g Gauges) int64 { return int64(g.Revision) },
-		messageDelay:   func(g Gauges) int64 { return g.MessageDelay.Microseconds() },
-		unapplied:      func(g Gauges) int64 { return int64(g.UnappliedValues) },
-		tableRejected:  func(g Gauges) int64 { return boolToInt64(g.TableRejected) },
-		storeReachable: func(g Gauges) int64 { return boolToInt64(g.StoreReachable) },
+		queued:           func(g Gauges) int64 { return int64(g.QueuedTasks) },
+		running:          func(g Gauges) int64 { return int64(g.RunningTasks) },
+		openJobs:         func(g Gauges) int64 { return int64(g.OpenJobs) },
+		freeSlots:        func(g Gauges) int64 { return int64(g.FreeSlots) },
+		links:            func(g Gauges) int64 { return int64(g.Links) },
+		revision:         func(g Gauges) int64 { return int64(g.Revision) },
+		messageDelay:     func(g Gauges) int64 { return g.MessageDelay.Microseconds() },
+		unapplied:        func(g Gauges) int64 { return int64(g.UnappliedValues) },
+		tableRejected:    func(g Gauges) int64 { return boolToInt64(g.TableRejected) },
+		evacuatedDomains: func(g Gauges) int64 { return int64(g.EvacuatedDomains) },
+		storeReachable:   func(g Gauges) int64 { return boolToInt64(g.StoreReachable) },
 	}
 	var instruments []metric.Observable
 	gauges := make(map[metric.Int64ObservableGauge]func(Gauges) int64)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -42,6 +42,7 @@
 	workerConflicts, entryConflicts   *labelledCounter
 	workerHealth                      *labelledCounter
 	announceRefusals                  *labelledCounter
+	evacuationsRejected               *labelledCounter
 	workerCrashes, jobTypesConfined   *labelledCounter
 	endedLate, pauses, cancels        *labelledCounter
 	sent, received                    messageCounters
@@ -92,6 +93,7 @@
 	m.dispatched, m.started = m.newCounter(dispatched, "", ""), m.newCounter(started, "", "")
 	m.workerConflicts, m.entryConflicts = m.newCounter(workerConflicts, "", ""), m.newCounter(entryConflicts, "", "")
 	m.announceRefusals = m.newCounter(announceRefusals, "", "")
+	m.evacuationsRejected = m.newCounter(evacuationsRejected, "", "")
 	m.workerCrashes, m.jobTypesConfined = m.newCounter(workerCrashes, "", ""), m.newCounter(jobTypesConfined, "", "")
 	m.workerHealth = m.newCounter(workerHealth, "health")
 	for _, h := range verdict.WorkerHealths() {
@@ -142,6 +144,9 @@
 // than the one that answers.
 func (m *Metrics) AnnouncementRefused() { m.announceRefusals.add("", 1) }
 
+// EvacuationRejected counts a request to evacuate a failure domain that cannot be used.
+func (m *Metrics) EvacuationRejected() { m.evacuationsRejected.add("", 1) }
+
 // WorkerCrashed counts a crash of a leased worker while tasks ran there.
 func (m *Metrics) WorkerCrashed() { m.workerCrashes.add("", 1) }
 
