--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -12,6 +12,7 @@
 	"github.com/poplarlever/poplarlever/internal/membership"
 	"github.com/poplarlever/poplarlever/internal/settings"
 	"github.com/poplarlever/poplarlever/internal/store"
+	"github.com/poplarlever/poplarlever/internal/telemetry"
 	"github.com/poplarlever/poplarlever/platform"
 )
 
@@ -26,15 +27,19 @@
 	failureDomain string
 	// tls is the client configuration for calls to other entries; nil means no TLS.
 	tls *tls.Config
+	// evacuations makes the entry follow the evacuations of failure domains.
+	evacuations bool
+	metrics     *telemetry.Metrics
 }
 
-// storeClient returns a client of the configured store, or nil without an address.
-func storeClient(s settings.Store) store.Store {
+// storeClient returns a client of the configured store, or nil without an address. The options
+// apply to a store of the platform.
+func storeClient(s settings.Store, options ...platform.StoreOption) store.Store {
 	switch {
 	case s.Address == "":
 		return nil
 	case s.Protocol == settings.ProtocolPlatform:
-		return platform.NewStore(s.Address)
+		return platform.NewStore(s.Address, options...)
 	}
 	return store.NewClient(s.Address)
 }
@@ -70,6 +75,9 @@
 	if o.advertise == "" {
 		cfg.Self.Address = d.Address()
 	}
-	cfg.Store = o.store
+	cfg.Store, cfg.Evacuations = o.store, o.evacuations
+	if o.metrics != nil {
+		cfg.Hooks.EvacuationRejected = o.metrics.EvacuationRejected
+	}
 	d.Join(entryd.NewPlatform(cfg))
 }
--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -88,6 +88,7 @@
 		ReleaseAfter: lease.ReleaseAfter(lease.Config{}),
 		ResultKeep:   s.Timing.ResultKeep.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
 		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration, EntrySilence: s.Timing.EntrySilence.Duration,
+		Evacuations: s.Evacuations,
 	}
 }
 
@@ -121,9 +122,13 @@
 		d.SetPolicy(policy)
 		return d, err
 	}
+	var storeOptions []platform.StoreOption
+	if s.Evacuations {
+		storeOptions = append(storeOptions, platform.WithEvacuations())
+	}
 	joinPlatform(d, s.Name, incarnation, platformOptions{
-		store: storeClient(s.Store), peers: s.Peers, advertise: s.Advertise, failureDomain: s.FailureDomain,
-		tls: t.Client,
+		store: storeClient(s.Store, storeOptions...), peers: s.Peers, advertise: s.Advertise, failureDomain: s.FailureDomain,
+		tls: t.Client, evacuations: s.Evacuations, metrics: m,
 	}, log)
 	return d, attachPlatform(d, s)
 }
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -33,7 +33,7 @@
 		{"peers", "Addresses of entries to ask for the table when the store is down; may be empty.", &s.Peers, optionalAddresses(&s.Peers), ""},
 		insecureNetwork(&s.InsecureNetwork, "TLS and callers' tokens"),
 		authentication(&s.Authentication, &s.Listen, &s.InsecureNetwork),
-		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay),
+		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay), evacuations(&s.Evacuations),
 		{"store.address", "Address of the platform's store. Without store and peers the built-in table is in force.", &s.Store.Address, optionalAddress(&s.Store.Address), ""},
 		storeProtocol(&s.Store),
 		{"platform.callers", "Address for clients of the users' platform; empty means none.", &s.Platform.Callers, optionalAddress(&s.Platform.Callers), ""},
@@ -71,7 +71,7 @@
 		}, ""},
 		{"links", "Number of entries that this agent links to.", &s.Links, intBetween(&s.Links, 1, 64), ""},
 		insecureNetwork(&s.InsecureNetwork, "TLS"),
-		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay),
+		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay), evacuations(&s.Evacuations),
 		{"store.address", "Address of the platform's store, where the agent finds entries; empty means none.", &s.Store.Address, optionalAddress(&s.Store.Address), ""},
 		storeProtocol(&s.Store),
 		{"platform.service", "Service of this VM's worker of the users' platform; empty means an endpoint with the product's own interface.", &s.Platform.Service, optionalText(&s.Platform.Service), ""},
@@ -104,6 +104,10 @@
 	return Field{"insecure_network", "true gives up " + protections + " on addresses that others can reach: whoever reaches them can read and send everything.", value, func() error { return nil }, ""}
 }
 
+func evacuations(value *bool) Field {
+	return Field{"evacuations", "true makes the process follow the operators' requests to evacuate a failure domain: no task starts at a worker there. Set it for entries and agents alike, once all run a version that knows the key.", value, func() error { return nil }, ""}
+}
+
 func storeProtocol(s *Store) Field {
 	return Field{"store.protocol", "\"native\" or \"platform\": the protocol of the store.", &s.Protocol, oneOf(&s.Protocol, ProtocolNative, ProtocolPlatform), ""}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,7 @@
 	Authentication string      `toml:"authentication"`
 	StopLimit      Duration    `toml:"stop_limit"`
 	ReadyDelay     Duration    `toml:"ready_delay"`
+	Evacuations    bool        `toml:"evacuations"`
 	Store          Store       `toml:"store"`
 	TLS            TLS         `toml:"tls"`
 	Log            Log         `toml:"log"`
@@ -52,6 +53,7 @@
 	Links         int         `toml:"links"`
 	StopLimit     Duration    `toml:"stop_limit"`
 	ReadyDelay    Duration    `toml:"ready_delay"`
+	Evacuations   bool        `toml:"evacuations"`
 	TLS           TLS         `toml:"tls"`
 	Log           Log         `toml:"log"`
 	Timing        AgentTiming `toml:"timing"`
