Show evacuated failure domains in the status

poplarlever status has a line for each evacuated domain with the version of its evacuation, the entries at which it is in force and the workers known there.

--- a/internal/command/statusprint.go
+++ b/internal/command/statusprint.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -59,10 +60,48 @@
 		fmt.Fprintf(tab, "%s\t%d\t%d\t%s\t%s\n", a.Account, a.QueuedTasks, a.RunningTasks,
 			percent(float64(a.RunningTasks)/max(1, float64(running))), percent(a.DueShare))
 	}
+	printEvacuated(tab, reports)
 	printUnapplied(tab, reports)
 	return tab.Flush()
 }
 
+// printEvacuated prints a line for each failure domain whose evacuation is in force at one of
+// the entries: at how many, and the largest number of workers there that one of them knows.
+func printEvacuated(w io.Writer, reports []entryReport) {
+	type row struct {
+		*pb.EvacuatedDomain
+		entries int
+	}
+	rows := make(map[string]*row)
+	answered := 0
+	for _, r := range reports {
+		if r.err == nil {
+			answered++
+		}
+		for _, d := range r.status.GetEntry().GetEvacuated() {
+			merged := rows[d.GetDomain()]
+			if merged == nil {
+				merged = &row{EvacuatedDomain: d}
+				rows[d.GetDomain()] = merged
+			}
+			merged.entries++
+			merged.Version, merged.Workers = max(merged.Version, d.GetVersion()), max(merged.Workers, d.GetWorkers())
+		}
+	}
+	if len(rows) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nEVACUATED\tVERSION\tENTRIES\tWORKERS")
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		r := rows[name]
+		workers := fmt.Sprint(r.Workers)
+		if r.Workers == 0 {
+			workers = "none known"
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d of %d\t%s\n", name, r.Version, r.entries, answered, workers)
+	}
+}
+
 // printUnapplied prints what of the newest table is not in force, if there is anything.
 func printUnapplied(w io.Writer, reports []entryReport) {
 	for _, r := range reports {
--- a/internal/entryd/operator.go
+++ b/internal/entryd/operator.go
@@ -29,6 +29,7 @@
 			RunningTasks: uint32(snapshot.RunningTasks), Draining: snapshot.Draining,
 			StoreReachable: d.storeReachable(), Uptime: durationpb.New(time.Since(d.startTime)),
 			UnappliedValues: uint32(report.unapplied), Unapplied: encodeUnapplied(report.listed), RejectedTable: report.rejected,
+			Evacuated: encodeEvacuated(snapshot.Evacuated),
 		},
 		Workers: encodeWorkers(snapshot.Workers), Accounts: encodeAccounts(snapshot.Accounts),
 		Peers: encodePeers(snapshot),
@@ -46,6 +47,14 @@
 	return out
 }
 
+func encodeEvacuated(domains []entry.EvacuationChanged) []*pb.EvacuatedDomain {
+	out := make([]*pb.EvacuatedDomain, len(domains))
+	for i, d := range domains {
+		out[i] = &pb.EvacuatedDomain{Domain: d.Name, Version: d.Version, Workers: uint32(d.Workers)}
+	}
+	return out
+}
+
 func encodeAccounts(accounts []entry.AccountSnapshot) []*pb.AccountStatus {
 	out := make([]*pb.AccountStatus, len(accounts))
 	for i, a := range accounts {
--- a/internal/membership/mirror.go
+++ b/internal/membership/mirror.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// Deletions calls f for each remembered deletion, in no particular order.
+func (m *Mirror) Deletions(f func(store.Deletion)) {
+	for key, version := range m.deletedAt {
+		f(store.Deletion{Key: key, Version: version})
+	}
+}
+
 // Put stores the value of one key and reports whether it was newer than the copy's.
 func (m *Mirror) Put(e store.Entry) bool {
 	if m.entries[e.Key].Version >= e.Version || m.deletedAt[e.Key] >= e.Version {
