Evacuate failure domains in the joined world of the cores

TestNothingStartsInEvacuatedDomains begins and ends evacuations while links, entries, agents and workers fail and entries are cut off from the store and from each other. No informed entry sends a task there, no informed agent accepts or starts one, and once the faults are over every agent follows the store, domains come back into use and each job has its answer.

--- a/internal/core/agent/evacuation_test.go
+++ b/internal/core/agent/evacuation_test.go
@@ -44,7 +44,7 @@
 		f := newEvacuationFixture(t, leased, true)
 		f.tell(entry, "elsewhere", true, 1)
 		f.occupy(1, 8)
-		started, refused := outcomes(f)
+		started, _ := outcomes(f)
 		f.c.Assert(started, qt.HasLen, 1)
 		f.tell(entry, "z", true, 5)
 		out := f.core.TakeOutputs()
@@ -54,7 +54,7 @@
 			f.c.Check(stops, qt.IsFalse)
 		}
 		f.late(2, 8, time.Second)
-		started, refused = outcomes(f)
+		started, refused := outcomes(f)
 		f.c.Check(started, qt.HasLen, 0)
 		f.c.Assert(refused, qt.HasLen, 1)
 		f.c.Check(refused[0].Reason, qt.Equals, verdict.Evacuated)
--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -14,6 +14,7 @@
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/core/lease"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/fake/worker"
 )
 
@@ -61,6 +62,8 @@
 	// bounded holds the links of agents to some of the entries, or is nil if each agent
 	// links to every entry.
 	bounded *boundedLinks
+	// evacuations holds the evacuations of failure domains, or is nil without them.
+	evacuations *evacuations
 	// lastCheck is the time of the last check by checkSingleRun.
 	lastCheck time.Time
 }
@@ -163,6 +166,9 @@
 		IdleHeartbeat: w.idleHeartbeat,
 		AckDelay:      50 * time.Millisecond, RunLimit: time.Minute, MaxQueued: 1000, MaxTasks: 100, MaxPayload: 1 << 10,
 	})
+	if w.evacuations != nil {
+		w.evacuations.entryStarted(e)
+	}
 	if w.bounded != nil {
 		w.bounded.entryDied(e)
 	}
@@ -189,8 +195,11 @@
 	a.core = agent.New(agent.Config{
 		Worker: a.name, Incarnation: w.incarnation(), Epoch: a.epoch, ReleaseAfter: lease.ReleaseAfter(lease.Config{}),
 		ResultKeep: time.Minute, HeartbeatInterval: 200 * time.Millisecond, EntrySilence: 1200 * time.Millisecond,
-		IdleHeartbeat: w.idleHeartbeat,
+		IdleHeartbeat: w.idleHeartbeat, FailureDomain: w.evacuations.domainOf(a), Evacuations: w.evacuations != nil,
 	})
+	if w.evacuations != nil {
+		delete(w.evacuations.informedAt, a)
+	}
 }
 
 func (w *leasedWorld) startWorker(a *leasedAgent) {
@@ -305,6 +314,9 @@
 	switch out := out.(type) {
 	case entry.Send:
 		if a := e.agents[out.Link]; a != nil {
+			if e.w.evacuations != nil {
+				e.w.evacuations.sent(e, a, out.Message)
+			}
 			a.receive(a.gen, e.gen, e, out)
 		}
 	case entry.CloseLink:
@@ -339,6 +351,9 @@
 	name := e.openJobs[out.Job]
 	delete(e.openJobs, out.Job)
 	w.answers[out.Answer.Outcome]++
+	if out.Answer.Reason == verdict.AllEvacuated {
+		w.evacuations.refusals++
+	}
 	if out.Answer.Outcome == entry.Complete {
 		w.done[name] = true
 	}
@@ -374,12 +389,18 @@
 					}
 				}
 			case agent.Start:
+				if w.evacuations != nil && a.core.Evacuated() {
+					w.c.Errorf("%s accepts %s in an evacuated domain", a.name, out.Name)
+				}
 				a.lease.Step(w.now, lease.RunTask{Attempt: out.Attempt, Task: out.Name, Run: out.Attempt.Attempt, Limit: out.RunLimit, OwnerSeen: out.EntrySeen})
 			case agent.EntrySeen:
 				w.tracef("%s: entry %d seen at %s", a.name, out.Entry, out.At.Sub(time.Unix(1000, 0)))
 				a.lease.Step(w.now, lease.OwnerSeen{Owner: out.Entry, At: out.At})
 			case agent.StopTask:
 				a.lease.Step(w.now, lease.StopTask{Attempt: out.Attempt})
+			case agent.EvacuationChanged:
+				w.evacuations.agentInformed(a, out)
+				a.lease.Step(w.now, lease.SetEvacuated{Evacuated: out.Evacuated})
 			}
 		}
 		for _, out := range a.lease.TakeOutputs() {
@@ -392,6 +413,9 @@
 			}
 			switch out := out.(type) {
 			case lease.Start:
+				if w.evacuations != nil && a.core.Evacuated() {
+					w.c.Errorf("%s starts %s in an evacuated domain", a.name, out.Task)
+				}
 				a.call(out.Call, out)
 			case lease.Stop:
 				if w.now.Before(a.stopsLostUntil) {
@@ -501,7 +525,11 @@
 func (a *leasedAgent) carryOutUnchecked(out lease.Output) lease.Answer {
 	switch out := out.(type) {
 	case lease.Start:
-		return a.worker.Start(a.w.now, out)
+		answer := a.worker.Start(a.w.now, out)
+		if a.w.evacuations != nil && answer.Status == lease.OK {
+			a.w.evacuations.started(a, out)
+		}
+		return answer
 	case lease.Stop:
 		return a.worker.Stop(a.w.now, out)
 	case lease.Hold:
--- a/internal/core/entry/evacuation_test.go
+++ b/internal/core/entry/evacuation_test.go
@@ -212,7 +212,7 @@
 // stays evacuated because the withdrawal came while this process was not there.
 func TestAgentsAreTold(t *testing.T) {
 	f := evacuationFixture(t)
-	w := f.linkIn("z0", "w0")
+	f.linkIn("z0", "w0")
 	f.c.Assert(take[msg.Evacuations](f), qt.HasLen, 0)
 	f.evacuate(5, "z0", true)
 	f.c.Assert(take[msg.Evacuations](f), qt.HasLen, 1)
@@ -230,7 +230,7 @@
 	f.c.Check(f.dispatched()[late.link], qt.HasLen, 0)
 
 	f = evacuationFixture(t)
-	w = f.linkIn("z0", "w0")
+	w := f.linkIn("z0", "w0")
 	f.out = nil
 	w.send(w.helloIn("z0", 7))
 	f.step(entry.SetEvacuations{Report: evacuation.Report{ListedAt: 7}})
