Add the command evacuate for the native store

poplarlever evacuate list, begin DOMAIN and end DOMAIN. begin and end may be repeated; a lost answer is resolved by the next try.

--- a/internal/command/help.go
+++ b/internal/command/help.go
@@ -52,3 +52,15 @@
   poplarlever submit examples/atlas-job.json
   poplarlever submit --entry 127.0.0.1:7000 --entry 127.0.0.1:7001 --key examples/atlas-settlement.json
   POPLARLEVER_TOKEN=secret poplarlever submit --json examples/hamasaki-job.json`
+
+const evacuateDescription = `Entries and agents with the setting "evacuations" start no task in an evacuated
+failure domain; those that run there end as usual. Both begin and end may be
+repeated. "poplarlever status" shows what is in force at the entries.
+
+Exit codes: 0 done, 1 failed and nothing written, 2 wrong usage, 4 unknown
+whether it was written.
+
+Examples:
+  poplarlever evacuate list
+  poplarlever evacuate begin casa-ain
+  poplarlever evacuate end casa-ain`
