Evacuate failure domains in the soak of processes

The disturbance evacuate-domain writes and removes the key of a failure domain in the store. No task may start there from 5 s after the acknowledgement on, at machines without a fault for 4 s.

go test -run TestSoakOfEvacuations ./internal/processtest: ok; with the checks of agent, lease and entry taken out it fails (a start 5.3 s after the acknowledgement).

--- a/internal/processtest/soak_test.go
+++ b/internal/processtest/soak_test.go
@@ -58,8 +58,12 @@
 job,soak,soak,,,,,,,,,soak.example,/jobs/,1,4,60ms,1.6
 `
 
-// soakSize is the number of entries, workers and failure domains of a run, and its duration.
-type soakSize struct{ entries, workers, domains, seconds int }
+// soakSize is the number of entries, workers and failure domains of a run, its duration, and
+// whether the processes follow evacuations.
+type soakSize struct {
+	entries, workers, domains, seconds int
+	evacuations                        bool
+}
 
 // soak is the run of one seed.
 type soak struct {
@@ -89,6 +93,9 @@
 	counts    map[string]int
 	// domainKilledAt is when a failure domain was killed last. Only faults use it.
 	domainKilledAt time.Time
+	// evacuatedAt is when the store had acknowledged the evacuation of each failure domain whose
+	// evacuation was not withdrawn.
+	evacuatedAt map[string]time.Time
 	// heldUpUntil is the end of the latest pause of this process or of its proxies.
 	heldUpUntil time.Time
 	// byteSentAt is when the byte was sent that is under way through a proxy, zero if none is.
@@ -189,6 +196,7 @@
 	s.counts["runs"]++
 	s.runs[task] = true
 	s.checkStart(w, task)
+	s.checkEvacuated(w, task, at)
 	if job, _, _ := strings.Cut(task, "."); s.refused[job] {
 		s.failf("%s runs at %s although its job was refused", task, w.name)
 	}
@@ -311,6 +319,9 @@
 	{"freeze-worker", func(_ *soak, rng *rand.Rand, w *soakWorker, _, _ *soakProcess) {
 		w.freeze(randomTime(rng, 300*time.Millisecond, 4*time.Second))
 	}},
+	{evacuateDomain, func(s *soak, rng *rand.Rand, _ *soakWorker, a, _ *soakProcess) {
+		s.evacuate(a.zone, randomTime(rng, 6*time.Second, 9*time.Second))
+	}},
 }
 
 // chooseFaults returns the faults of a seed, so that seeds differ in what happens
@@ -360,6 +371,7 @@
 			for i := range f.targets(s.size) {
 				w, e := (w+i)%s.size.workers, (e+i)%s.size.entries
 				s.logf("fault %s at worker %d, entry %d", f.name, w, e)
+				s.locked(func() { s.workers[w].disturbedAt = time.Now() })
 				f.do(s, rng, s.workers[w], s.agents[w], s.entries[e])
 			}
 		}
@@ -404,7 +416,7 @@
 	s := &soak{
 		c: qt.New(t), seed: seed, size: size, dir: dir, events: events, overCh: make(chan struct{}), runs: make(map[string]bool),
 		done: make(map[string]bool), refused: make(map[string]bool), counts: make(map[string]int),
-		cancelled: make(map[string]time.Time), stepTasks: make(map[string][]string),
+		cancelled: make(map[string]time.Time), stepTasks: make(map[string][]string), evacuatedAt: make(map[string]time.Time),
 	}
 	t.Cleanup(s.shutDown)
 	s.keepBusy(t, min(*soakBusy, runtime.NumCPU()))
@@ -422,7 +434,9 @@
 	return s
 }
 
-func flagSize() soakSize { return soakSize{*soakEntries, *soakWorkers, *soakDomains, *soakSeconds} }
+func flagSize() soakSize {
+	return soakSize{*soakEntries, *soakWorkers, *soakDomains, *soakSeconds, strings.Contains(*soakOnly, evacuateDomain)}
+}
 
 // random returns one of the random sequences of the seed.
 func (s *soak) random(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.seed, stream)) }
--- a/internal/processtest/soak_worker_test.go
+++ b/internal/processtest/soak_worker_test.go
@@ -37,6 +37,8 @@
 	// Until frozenUntil, the worker's process stands still while its clock goes on: calls wait
 	// and ends are not looked at.
 	frozenUntil time.Time
+	// disturbedAt is when a fault was injected at the worker or its agent.
+	disturbedAt time.Time
 }
 
 // freeze lets the worker's process stand still for a time.
