Space out calls to a worker that resets its connections

A worker that goes down and up accepts connections and resets them. Each hold then failed within a fraction of a millisecond and was repeated at once, and each unconfirmed stop every 20 ms: 320 connections a second to one worker.

The first repeat still comes at once; each further failure in a row doubles the spacing, from the sending of the failed call, up to 50 ms for holds until the worker counts as silent and up to the probe interval for stops. Calls that wait for their timeout are not delayed.

--- a/internal/core/lease/crash_test.go
+++ b/internal/core/lease/crash_test.go
@@ -98,3 +98,17 @@
 		{Attempt: attempt, RunTime: 30 * time.Millisecond},
 	})
 }
+
+// Guards against hundreds of connections to a worker that accepts each and resets it, and
+// against a later verdict on such a worker.
+func TestWorkerThatResetsConnectionsIsCalledRarely(t *testing.T) {
+	f := newFixture(t)
+	s := f.begin()
+	f.step(lease.Answer{Call: s.Call, Status: lease.OK, Clock: f.clock()})
+	f.step(lease.Answer{Call: f.hold.Call, Status: lease.NoAnswer})
+	_, holds := f.unreachable(lease.NoAnswer, 250*time.Millisecond)
+	f.c.Check(f.core.Ready(), qt.IsFalse)
+	f.c.Check(holds <= 9, qt.IsTrue, qt.Commentf("%d holds", holds))
+	_, holds = f.unreachable(lease.NoAnswer, time.Second)
+	f.c.Check(holds <= 6, qt.IsTrue, qt.Commentf("%d holds", holds))
+}
--- a/internal/core/lease/execution.go
+++ b/internal/core/lease/execution.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/callpace"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
@@ -39,6 +40,7 @@
 	stopCall uint64
 	// retryStopAt is when a stop that got no answer is sent again.
 	retryStopAt time.Time
+	stopPace    callpace.Pace
 	// ran is set once the worker has reported the task as running. earlierInstance is set once
 	// the worker has restarted: the new instance does not know what the earlier one ran.
 	ran, earlierInstance bool
@@ -64,7 +66,7 @@
 // stops.
 func (e *execution) workerRestarted(lastCall uint64) {
 	e.conclusiveAfter, e.missed, e.earlierInstance = lastCall, 0, true
-	e.stopCall, e.retryStopAt = 0, time.Time{}
+	e.stopCall, e.retryStopAt, e.stopPace = 0, time.Time{}, callpace.Pace{}
 	if e.state == stopped && !e.ran {
 		e.state = startUnknown
 	}
@@ -225,7 +227,11 @@
 		e.conclusiveAfter, e.missed = c.lastCall, 0
 		return
 	}
-	e.retryStopAt = c.now.Add(stopRetryDelay)
+	e.stopPace.Failed()
+	e.retryStopAt = e.stopPace.Next(c.now, callpace.Bounds{Min: 2 * stopRetryDelay, Max: c.cfg.ProbeInterval})
+	if earliest := c.now.Add(stopRetryDelay); e.retryStopAt.Before(earliest) {
+		e.retryStopAt = earliest
+	}
 }
 
 // resolveUnlisted handles an attempt that the hold with the given call number
--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -133,6 +133,7 @@
 	case OK, Fenced:
 		c.answers.Alive()
 		c.unanswered, c.nextHoldAt = 0, time.Time{}
+		c.holdPace.Answered()
 		c.setSilent(false)
 		if in.Status == OK {
 			c.confirm(in.Call, c.holdSentAt)
@@ -142,6 +143,8 @@
 		if c.unanswered++; c.unanswered == 1 {
 			c.unansweredSince = c.now
 		}
+		c.holdPace.Failed()
+		c.nextHoldAt = c.holdPace.Next(c.holdSentAt, holdSpacing)
 		after := silentAfter
 		if in.Status == NotListening {
 			after = refusedAfter
--- a/internal/core/lease/instance_state_test.go
+++ b/internal/core/lease/instance_state_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/poplarlever/poplarlever/internal/core/callpace"
 )
 
 // Guards against a belief about one instance of the worker that is applied to the next, under
@@ -13,13 +15,15 @@
 // it leaves, calls in flight.
 func TestNothingOfAnInstanceIsKeptForTheNext(t *testing.T) {
 	at := time.Unix(1000, 0)
+	var failed callpace.Pace
+	failed.Failed()
 	for _, next := range []Instance{{ID: "i-1", StartedAtMs: 8}, {ID: "i-2", StartedAtMs: 8}} {
 		c := qt.New(t)
 		core := New(Config{})
 		core.lastCall = 20
 		core.instanceState = instanceState{
 			phase: held, instance: Instance{ID: "i-1", StartedAtMs: 7}, fenceStep: 4, clock: time.Hour, clockAt: at, stoodStill: time.Second,
-			silent: true, unanswered: 3, unansweredSince: at, leaving: true, announcedLeaving: true, crashReported: true, seen: 5, acked: 4,
+			silent: true, unanswered: 3, unansweredSince: at, holdPace: failed, leaving: true, announcedLeaving: true, crashReported: true, seen: 5, acked: 4,
 			lastCallBefore: 2, holdCall: 18, queryCall: 19, holdSeen: 5, nextHoldAt: at, holdSentAt: at, querySentAt: at, confirmedAt: at,
 			confirmedCall: 17, renewedAt: at, renewalCall: 18,
 			toStart: []delayedStart{{}}, unowned: map[unownedRun]unownedState{{task: "t"}: {}},
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -23,6 +23,7 @@
 	"slices"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/callpace"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/roundtrip"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
@@ -65,7 +66,8 @@
 	abortTime = 60 * time.Millisecond
 	// tickSlack is how late the caller's ticks may be.
 	tickSlack = 100 * time.Millisecond
-	// stopRetryDelay is the pause before a stop that got no answer is sent again.
+	// stopRetryDelay is the pause before a stop that got no answer is sent again for the first
+	// time.
 	stopRetryDelay = 20 * time.Millisecond
 	// silentAfterHolds and silentAfter are the number of holds in a row without an answer,
 	// and the time since the first of them, at which the worker counts as silent. The
@@ -98,6 +100,11 @@
 	ackTerm = 500 * time.Millisecond
 )
 
+// holdSpacing spaces out holds that fail at once. Its Max lets silentAfter pass with no more than
+// eight connections and without delaying the moment at which the worker counts as silent by
+// more than that.
+var holdSpacing = callpace.Bounds{Min: 10 * time.Millisecond, Max: 50 * time.Millisecond}
+
 // answerBounds limit the timeouts of calls, apart from the time that a hold waits at the
 // worker. The worker is on the same VM and answers within a millisecond; the rest is the
 // delay of this process, which has a fraction of a core.
@@ -162,6 +169,7 @@
 	// first of them had timed out.
 	unanswered      int
 	unansweredSince time.Time
+	holdPace        callpace.Pace
 	// leaving is set when the worker has deregistered, announcedLeaving when it has
 	// announced that it is going to end.
 	leaving, announcedLeaving bool
