Switch features on by the platform's contracts in force

The templates of the settings had sections that the scripts of review/ cannot fill in, and not every feature has a bound of its own there.

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -55,7 +55,9 @@
 }
 
 func loadAgent(cmd *cli.Command) (settings.Agent, error) {
-	return settings.LoadAgent(cmd.String("settings"), func(s *settings.Agent) []settings.Override { return agentOverrides(cmd, s) })
+	s, err := settings.LoadAgent(cmd.String("settings"), func(s *settings.Agent) []settings.Override { return agentOverrides(cmd, s) })
+	applyContracts(cmd, s.Source, agentFeatures(&s))
+	return s, err
 }
 
 func agentOverrides(cmd *cli.Command, s *settings.Agent) []settings.Override {
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -58,7 +58,9 @@
 }
 
 func loadEntry(cmd *cli.Command) (settings.Entry, error) {
-	return settings.LoadEntry(cmd.String("settings"), func(s *settings.Entry) []settings.Override { return entryOverrides(cmd, s) })
+	s, err := settings.LoadEntry(cmd.String("settings"), func(s *settings.Entry) []settings.Override { return entryOverrides(cmd, s) })
+	applyContracts(cmd, s.Source, entryFeatures(&s))
+	return s, err
 }
 
 func entryOverrides(cmd *cli.Command, s *settings.Entry) []settings.Override {
--- a/internal/command/flags.go
+++ b/internal/command/flags.go
@@ -19,6 +19,7 @@
 		&cli.StringFlag{Name: "listen", Usage: "`ADDRESS` " + purpose + " (default: " + listen + ")"},
 		&cli.StringFlag{Name: "failure-domain", Usage: "failure domain of this VM"},
 		&cli.DurationFlag{Name: "stop-limit", Usage: "longest duration of a graceful stop", DefaultText: settings.DefaultStopLimit.String()},
+		contractsFlag(),
 		&cli.StringFlag{Name: "log-format", Usage: "json or console"},
 		&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error"},
 	}
--- a/internal/processtest/soak_process_test.go
+++ b/internal/processtest/soak_process_test.go
@@ -186,9 +186,6 @@
 	<-exited
 }
 
-// evacuationSection is the part of the settings for a platform with a bound for evacuations.
-var evacuationSection = regexp.MustCompile(`\{\{#bounds\.evacuateMs\}\}(.*)\{\{/bounds\.evacuateMs\}\}`)
-
 var seedList = regexp.MustCompile(`\{\{#seeds\}\}.*\{\{/seeds\}\}`)
 
 // writeSettings renders the settings that the users' platform gives a process, with the
@@ -197,11 +194,9 @@
 	content, err := os.ReadFile(filepath.Join("../../deploy", template))
 	s.must(err)
 	text := strings.Replace(string(content), `protocol = "platform"`, `protocol = "native"`, 1)
-	evacuations := ""
 	if s.size.evacuations {
-		evacuations = "$1"
+		text = "evacuations = true\n" + text
 	}
-	text = evacuationSection.ReplaceAllString(text, evacuations)
 	text = seedList.ReplaceAllLiteralString(text, `"`+strings.Join(seeds, `", "`)+`"`)
 	for key, value := range values {
 		text = strings.ReplaceAll(text, "{{"+key+"}}", value)
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -63,6 +63,13 @@
 	return s.file + ":1"
 }
 
+// Sets reports whether the file or a flag sets the key.
+func (s Source) Sets(key string) bool {
+	_, inFile := s.lines[key]
+	_, byFlag := s.flags[key]
+	return inFile || byFlag
+}
+
 // Override is a value set by a command-line flag.
 type Override struct {
 	Key  string
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -144,9 +144,6 @@
 
 func zoneName(z int) string { return fmt.Sprintf("kyushu-%c", 'a'+z) }
 
-// bound is a part of the settings for a platform that has a bound, which this one has not.
-var bound = regexp.MustCompile(`\{\{#bounds\.[a-zA-Z]+\}\}.*\{\{/bounds\.[a-zA-Z]+\}\}`)
-
 var placeholder = regexp.MustCompile(`\{\{([a-zA-Z.]+)\}\}`)
 
 // settings fills in the template of a role in the deploy file, and returns the arguments
@@ -158,7 +155,6 @@
 	}
 	seeds, _ := json.Marshal(values["seeds"])
 	text := strings.ReplaceAll(string(template), `[{{#seeds}}"{{.}}"{{,}}{{/seeds}}]`, string(seeds))
-	text = bound.ReplaceAllString(text, "")
 	text = placeholder.ReplaceAllStringFunc(text, func(p string) string {
 		v, ok := values[strings.Trim(p, "{}")]
 		if !ok {
