Estimate when tasks end and decide by it

Change: core/estimate combines run times and speeds. Expected gives the run time to be expected of a task at a worker. Records of speeds that are discarded take no further runs. Not used yet.

--- /dev/null
+++ b/internal/core/estimate/estimate.go
@@ -0,0 +1,169 @@
+// Package estimate combines what is known of run times and of workers' speeds into the
+// times at which tasks can be expected to end, and decides by them.
+//
+// It is made for services whose workers differ in speed by a factor of two and more, and
+// whose declared run times are off by half and more. There a task that is long for its
+// declared time says little about its worker, and a worker that is slow for good still
+// serves most tasks in time.
+//
+// Three rules follow from the expected ends. A task is placed where its job is likely to be
+// answered in time (Target). A run is stopped only if a new start elsewhere can be expected
+// to end sooner (Overrun). A run that takes longer than nearly all others of its kind is
+// evidence against its worker. The rules are judged by the jobs that are late although
+// workers have room, and by the runs stopped that would have ended sooner.
+//
+// The package does no I/O and reads no clock. An Estimator is not safe for concurrent use.
+package estimate
+
+import (
+	"math"
+	"time"
+
+	"github.com/poplarlever/poplarlever/internal/core/runtimes"
+	"github.com/poplarlever/poplarlever/internal/core/speed"
+)
+
+// Estimator holds what one entry has learned.
+type Estimator struct {
+	types    *runtimes.Table
+	services map[string]*speed.Service
+}
+
+// New returns an estimator without observations.
+func New() *Estimator {
+	return &Estimator{types: runtimes.NewTable(), services: make(map[string]*speed.Service)}
+}
+
+// service returns the speeds of a service's workers.
+func (e *Estimator) service(name string) *speed.Service {
+	s, ok := e.services[name]
+	if !ok {
+		s = speed.New()
+		e.services[name] = s
+	}
+	return s
+}
+
+// Worker returns what is known of a worker.
+func (e *Estimator) Worker(service, name string) *speed.Worker {
+	return e.service(service).Worker(name)
+}
+
+// Forget discards what is known of a worker.
+func (e *Estimator) Forget(service, name string) {
+	s, ok := e.services[service]
+	if !ok {
+		return
+	}
+	s.Forget(name)
+	if s.Len() == 0 {
+		delete(e.services, service)
+	}
+}
+
+// Expected returns the run time to be expected of a task at a worker: its declared run time
+// times the median ratio of its job type, divided by the worker's speed. A job type or a
+// worker without observations counts as declared and as the mean.
+func (e *Estimator) Expected(service, jobType string, declared time.Duration, worker string) time.Duration {
+	slowness := 1.0
+	if s, ok := e.services[service]; ok {
+		slowness = s.Find(worker).Slowness()
+	}
+	return scale(declared, e.types.Known(service, jobType).Median()*slowness)
+}
+
+// maxExpected bounds an expected run time, so that sums of times do not overflow.
+const maxExpected = 365 * 24 * time.Hour
+
+func scale(d time.Duration, by float64) time.Duration {
+	scaled := float64(max(0, d)) * by
+	if !(scaled < float64(maxExpected)) {
+		return maxExpected
+	}
+	return time.Duration(scaled)
+}
+
+// Job is what is known of the run times of one job. The zero value expects nothing.
+type Job struct {
+	dist  *runtimes.Distribution
+	speed *speed.Service
+	// runs holds the runs that have ended, sum the logarithms of their ratios at a worker of
+	// speed 1.
+	runs []speed.Run
+	sum  float64
+	// latestEnd is the latest expected end of a task that has been dispatched.
+	latestEnd time.Time
+	// stopped is set once a run was stopped, and blamed is the worker against which a run of
+	// the job counted last.
+	stopped bool
+	blamed  *speed.Worker
+}
+
+// Job returns what is known of a job that arrives.
+func (e *Estimator) Job(service, jobType string) Job {
+	return Job{dist: e.types.Of(service, jobType), speed: e.service(service)}
+}
+
+// known reports whether the job has an estimate.
+func (j *Job) known() bool { return j.dist != nil }
+
+// ratio returns the expected ratio of run time to declared run time at a worker of speed 1,
+// and the standard deviation of its logarithm. Once tasks have ended, it is theirs.
+func (j *Job) ratio() (ratio, deviation float64) {
+	if n := float64(len(j.runs)); n > 0 {
+		return math.Exp(j.sum / n), j.speed.Noise() / math.Sqrt(n)
+	}
+	return j.dist.Median(), j.dist.Spread()
+}
+
+// Expected returns the expected run time of a task at a worker.
+func (j *Job) Expected(declared time.Duration, w *speed.Worker) time.Duration {
+	if !j.known() {
+		return declared
+	}
+	ratio, _ := j.ratio()
+	return scale(declared, ratio*w.Slowness())
+}
+
+// Dispatched records that a task of the job was sent to a worker.
+func (j *Job) Dispatched(now time.Time, declared time.Duration, w *speed.Worker) {
+	if end := now.Add(j.Expected(declared, w)); end.After(j.latestEnd) {
+		j.latestEnd = end
+	}
+}
+
+// Ended records a run of the job that has ended. The run time has to be valid.
+func (j *Job) Ended(w *speed.Worker, started time.Time, took, declared time.Duration, counted bool) {
+	if !j.known() || declared <= 0 {
+		return
+	}
+	x := math.Log(float64(took) / float64(declared))
+	j.runs = append(j.runs, speed.Run{Worker: w, Started: started, LogRatio: x, Counted: counted})
+	j.sum += x - w.LogSlowness()
+}
+
+// Runs returns the number of runs that have ended.
+func (j *Job) Runs() int { return len(j.runs) }
+
+// Finish learns from the runs of a job, all of whose tasks have ended, and returns what has
+// changed. Before that, the tasks at fast workers are the only ones.
+func (j *Job) Finish(now time.Time) []speed.Change {
+	if !j.known() || len(j.runs) == 0 {
+		return nil
+	}
+	prior := speed.Prior{Mean: math.Log(j.dist.Median()), Deviation: j.dist.Spread()}
+	for _, r := range j.runs {
+		if !r.Worker.Degraded() {
+			j.dist.Observe(r.LogRatio-r.Worker.LogSlowness(), 1/float64(len(j.runs)))
+		}
+	}
+	return j.speed.Observe(now, j.runs, prior)
+}
+
+// Stalled records that a worker of the job's service makes no progress.
+func (j *Job) Stalled(now time.Time, w *speed.Worker, ratio float64) []speed.Change {
+	if !j.known() {
+		return nil
+	}
+	return j.speed.Stalled(now, w, ratio)
+}
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -66,8 +66,8 @@
 	// slowerUnknownLog is that factor for a worker whose speed is not learned yet, which may
 	// be one of the slowest.
 	slowerUnknownLog = 1.8
-	// maxEvidence bounds what one job adds to the sum or takes from it.
-	maxEvidence = 4.0
+	// MaxEvidence bounds what one job adds to the sum or takes from it.
+	MaxEvidence = 4.0
 	// threshold is the sum from which a worker is degraded: three jobs that each count in
 	// full. Two would do so by chance in one of some ten thousand jobs.
 	threshold = 10.0
@@ -83,6 +83,7 @@
 
 // Worker is what a service knows of one worker.
 type Worker struct {
+	name string
 	// raw is the logarithm of the speed before the zero of the scale is subtracted.
 	raw, variance float64
 	jobs          int
@@ -97,13 +98,19 @@
 	confirmed  int
 	excess     float64
 	learned    bool
-	slowness   float64
+	// forgotten is set once the record is discarded.
+	forgotten bool
+	// slowness is that of the speed, logSlowness its logarithm.
+	slowness, logSlowness float64
 	// The fields below hold the values of the job that is being compared.
 	stamp           uint64
 	sum, n, weight  float64
 	counted, recent bool
 }
 
+// Name returns the worker's name.
+func (w *Worker) Name() string { return w.name }
+
 // Slowness returns the run time of a task at the worker divided by that at a worker of
 // speed 1. It is 1 for nil.
 func (w *Worker) Slowness() float64 {
@@ -113,6 +120,14 @@
 	return w.slowness
 }
 
+// LogSlowness returns the logarithm of Slowness.
+func (w *Worker) LogSlowness() float64 {
+	if w == nil {
+		return 0
+	}
+	return w.logSlowness
+}
+
 // Speed returns the speed relative to the mean of the service.
 func (w *Worker) Speed() float64 { return 1 / w.Slowness() }
 
@@ -126,7 +141,12 @@
 func (w *Worker) Degraded() bool { return w != nil && w.degraded }
 
 // DegradedAt returns when the worker became degraded.
-func (w *Worker) DegradedAt() time.Time { return w.degradedAt }
+func (w *Worker) DegradedAt() time.Time {
+	if w == nil {
+		return time.Time{}
+	}
+	return w.degradedAt
+}
 
 // Evidence returns the logarithm of how much more likely the latest runs are at a worker
 // that has become slower than at one as learned; it is not negative.
@@ -162,7 +182,7 @@
 func (s *Service) Worker(name string) *Worker {
 	w, ok := s.workers[name]
 	if !ok {
-		w = &Worker{variance: priorVariance, slowness: 1}
+		w = &Worker{name: name, variance: priorVariance, slowness: 1}
 		s.workers[name] = w
 	}
 	return w
@@ -171,10 +191,11 @@
 // Find returns the record of a worker, or nil.
 func (s *Service) Find(name string) *Worker { return s.workers[name] }
 
-// Forget discards the record of a worker.
+// Forget discards the record of a worker. Runs that name it count no more.
 func (s *Service) Forget(name string) {
 	if w, ok := s.workers[name]; ok {
 		delete(s.workers, name)
+		w.forgotten = true
 		if w.jobs > 0 {
 			s.known--
 			s.sum -= w.raw
@@ -244,8 +265,10 @@
 		w.weight = 1 / v
 		s.points = append(s.points, point{w.sum, w.weight})
 	}
-	if len(s.groups) == 1 {
-		s.trial(now, s.groups[0], s.groups[0].sum-prior.Mean)
+	if len(s.groups) < 2 {
+		for _, w := range s.groups {
+			s.trial(now, w, w.sum-prior.Mean)
+		}
 		return s.changes
 	}
 	// Values far from the median count less, so that one task at a degraded worker does
@@ -272,6 +295,9 @@
 	s.groups = s.groups[:0]
 	for _, r := range runs {
 		w := r.Worker
+		if w == nil || w.forgotten {
+			continue
+		}
 		if w.stamp != s.stamp {
 			w.stamp, w.sum, w.n, w.counted, w.recent = s.stamp, 0, 0, false, true
 			s.groups = append(s.groups, w)
@@ -344,7 +370,12 @@
 	before := w.raw
 	w.raw = min(max(w.raw+by, s.zero-maxLog), s.zero+maxLog)
 	s.sum += w.raw - before
-	w.slowness = math.Exp(s.zero - w.raw)
+	s.setSlowness(w)
+}
+
+func (s *Service) setSlowness(w *Worker) {
+	w.logSlowness = s.zero - w.raw
+	w.slowness = math.Exp(w.logSlowness)
 }
 
 // moveZero moves the zero of the scale towards the mean of the workers with evidence.
@@ -354,7 +385,7 @@
 	}
 	s.zero += max(gaugeGain, 1/float64(s.jobs)) * (s.sum/float64(s.known) - s.zero)
 	for _, w := range s.groups {
-		w.slowness = math.Exp(s.zero - w.raw)
+		s.setSlowness(w)
 	}
 }
 
@@ -388,7 +419,7 @@
 
 // evidence returns the log likelihood ratio of a change and no change, bounded.
 func evidence(excess, change, variance float64) float64 {
-	return min(max(change/variance*(excess-change/2), -maxEvidence), maxEvidence)
+	return min(max(change/variance*(excess-change/2), -MaxEvidence), MaxEvidence)
 }
 
 func (s *Service) add(now time.Time, w *Worker, by, ratio float64) {
@@ -429,17 +460,22 @@
 // have: the share of those that take as long is given. It returns what has changed.
 func (s *Service) Overdue(now time.Time, w *Worker, share, ratio float64) []Change {
 	s.changes = s.changes[:0]
+	if w.forgotten {
+		return nil
+	}
 	if w.degraded {
 		s.confirm(now, w, math.Log(max(ratio, 1)))
 		return s.changes
 	}
-	s.add(now, w, min(-math.Log(max(share, 1e-9)), maxEvidence), ratio)
+	s.add(now, w, min(-math.Log(max(share, 1e-9)), MaxEvidence), ratio)
 	return s.changes
 }
 
 // Stalled records that a worker makes no progress. It returns what has changed.
 func (s *Service) Stalled(now time.Time, w *Worker, ratio float64) []Change {
 	s.changes = s.changes[:0]
-	s.add(now, w, threshold, ratio)
+	if !w.forgotten {
+		s.add(now, w, threshold, ratio)
+	}
 	return s.changes
 }
