Let the entry learn speeds and decide by expected ends

Change: with LearnSpeeds in its configuration, which is off and which no setting sets yet, the entry core feeds core/estimate with the results of its own tasks. A task's score at a worker falls with the chance that its job is late there; runs are stopped, and workers count as slow, by core/estimate; the cores of a pass count times speed. Quarantine, trial tasks and the bound on slow workers stay as they are; the trial goes to a task that can be stopped and still end in time, if there is one. Without LearnSpeeds every decision is as before.

Evidence (go test ./internal/core/entry): 12 workers of which half are twice as fast, declared times off by 0.4, 100 jobs a second: in 20 s no task is stopped and no worker judged; without learning there are. A worker that turns 7.5 times as slow, or stands still, is judged within a second, gets two tasks at most in the next five, and is used again afterwards.

--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -85,6 +85,7 @@
 	t.attempt = a
 	c.attempts[a.id] = a
 	w.add(a)
+	c.expectEnd(now, a)
 	c.setTimer(&a.timer, now.Add(a.probeInterval))
 	c.sendTo(now, w, msg.Dispatch{
 		Attempt: a.id, Seq: w.seq, AgentIncarnation: w.incarnation, StartBy: a.startBy,
@@ -165,7 +166,7 @@
 	}
 	c.charge(a.job, r.RunTime)
 	if r.Kind == msg.ResultOK {
-		c.recordRun(now, a.job, w, a.sentAt, r.RunTime)
+		c.recordRun(now, a, w, r.RunTime)
 	}
 	c.applyResult(a.job, a.task, w, r)
 }
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/crashlog"
+	"github.com/poplarlever/poplarlever/internal/core/estimate"
 	"github.com/poplarlever/poplarlever/internal/core/limits"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
@@ -54,6 +55,8 @@
 	AckDelay time.Duration
 	// RunLimit is the longest time that an endpoint may take for a task.
 	RunLimit time.Duration
+	// LearnSpeeds lets the core learn run times and workers' speeds, and decide by them.
+	LearnSpeeds bool
 	// MaxQueued is the largest number of queued tasks.
 	MaxQueued int
 	// MaxTasks is the largest number of tasks in a job.
@@ -107,6 +110,10 @@
 	// one.
 	revokeTargets []*worker
 	crashes       crashlog.Log
+	// discardedRunTimes counts reported run times that cannot be ones.
+	discardedRunTimes uint64
+	// estimates is nil unless the core learns run times and speeds.
+	estimates *estimate.Estimator
 	// messageDelay is the mean delay of the latest messages from agents, in seconds.
 	messageDelay float64
 	latestDelay  time.Duration
@@ -124,13 +131,14 @@
 	cfg.IdleHeartbeat = max(cfg.IdleHeartbeat, cfg.HeartbeatInterval)
 	usage := limits.NewLedger()
 	return &Core{
-		cfg:      cfg,
-		usage:    usage,
-		rng:      rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation))),
-		jobs:     make(map[uint64]*job),
-		attempts: make(map[msg.AttemptID]*attempt),
-		queue:    newQueue(usage),
-		workers:  newWorkerSet(),
+		estimates: newEstimates(cfg),
+		cfg:       cfg,
+		usage:     usage,
+		rng:       rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation))),
+		jobs:      make(map[uint64]*job),
+		attempts:  make(map[msg.AttemptID]*attempt),
+		queue:     newQueue(usage),
+		workers:   newWorkerSet(),
 	}
 }
 
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -160,6 +160,27 @@
 	Health verdict.WorkerHealth
 }
 
+// WorkerSpeedLearned reports that the speed of a worker is known for the first time. Speed is
+// relative to the mean of the service, Uncertainty the standard deviation of its logarithm.
+type WorkerSpeedLearned struct {
+	Worker             string
+	Speed, Uncertainty float64
+}
+
+// WorkerDegraded reports that a worker has become slower than its learned speed: its latest
+// run took Ratio times as long as expected. WorkerJudged follows.
+type WorkerDegraded struct {
+	Worker       string
+	Speed, Ratio float64
+}
+
+// RunTimeDiscarded reports a run time that cannot be one. Count is the number of them so far.
+type RunTimeDiscarded struct {
+	Worker  string
+	RunTime time.Duration
+	Count   uint64
+}
+
 // AttemptsReleased reports that attempts at a leased worker count as ended without a
 // message from their agent, which was not heard for Silence.
 type AttemptsReleased struct {
@@ -192,17 +213,20 @@
 	Confined         bool
 }
 
-func (Send) output()             {}
-func (CloseLink) output()        {}
-func (Answered) output()         {}
-func (Progress) output()         {}
-func (Retried) output()          {}
-func (WorkerConflict) output()   {}
-func (WorkerJudged) output()     {}
-func (JobTypeConfined) output()  {}
-func (AttemptsReleased) output() {}
-func (JobEnding) output()        {}
-func (ResultAfterEnd) output()   {}
+func (Send) output()               {}
+func (WorkerSpeedLearned) output() {}
+func (WorkerDegraded) output()     {}
+func (RunTimeDiscarded) output()   {}
+func (CloseLink) output()          {}
+func (Answered) output()           {}
+func (Progress) output()           {}
+func (Retried) output()            {}
+func (WorkerConflict) output()     {}
+func (WorkerJudged) output()       {}
+func (JobTypeConfined) output()    {}
+func (AttemptsReleased) output()   {}
+func (JobEnding) output()          {}
+func (ResultAfterEnd) output()     {}
 
 // Outcome says how a job ended.
 type Outcome uint8
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/estimate"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/objective"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
@@ -41,6 +42,10 @@
 	confined bool
 	// runs records where tasks of the job ran and for how long, for comparison.
 	runs []taskRun
+	// estimate holds what is known of the job's run times if the core learns them.
+	estimate estimate.Job
+	// objective is the response objective, kept if the core learns run times.
+	objective objective.Objective
 	// unfinishedByStep counts the unfinished tasks of each step.
 	unfinishedByStep []int
 	phase            jobPhase
@@ -61,6 +66,8 @@
 	// attempt that failed or was stopped as overdue.
 	failures         int
 	lastFailedWorker string
+	// stops counts the attempts that were stopped as overdue.
+	stops int
 	// verdict says whether the task may have run, once that is known.
 	verdict verdict.Verdict
 }
@@ -92,6 +99,9 @@
 	// sentAt is when the attempt was dispatched; overdue is set once it was found overdue.
 	sentAt  time.Time
 	overdue bool
+	// checkAt is when the attempt is next compared with a new start elsewhere, if the core
+	// learns run times.
+	checkAt time.Time
 	// stop asks the agent to stop the attempt when it runs under a lease.
 	stop bool
 	// releaseAt is when an attempt of a replaced agent is certain to have ended; zero
@@ -124,6 +134,7 @@
 		return
 	}
 	c.jobs[spec.ID] = j
+	c.estimateJob(j)
 	c.setTimer(&j.timer, j.firstTimeout())
 	j.countSteps()
 	for i := range spec.Tasks {
--- /dev/null
+++ b/internal/core/entry/learning_test.go
@@ -0,0 +1,313 @@
+package entry_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/poplarlever/poplarlever/internal/core/entry"
+	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
+)
+
+// learningFleet is one entry core that learns speeds, and leased workers whose run times are
+// the declared ones times a slowness.
+type learningFleet struct {
+	*fixture
+	rng      *rand.Rand
+	workers  map[entry.LinkID]*leasedWorker
+	links    []entry.LinkID
+	slowness map[entry.LinkID]float64
+	// stuck holds workers that end no task.
+	stuck map[entry.LinkID]bool
+	// ends holds the dispatched tasks that have not ended, by when they do.
+	ends    map[msg.AttemptID]end
+	answers map[entry.Outcome]int
+	judged  map[verdict.WorkerHealth]int
+	learned map[string]float64
+	started map[entry.LinkID]int
+	// discarded holds the counts of invalid run times.
+	discarded []uint64
+	stops     int
+}
+
+type end struct {
+	at       time.Time
+	link     entry.LinkID
+	dispatch msg.Dispatch
+	took     time.Duration
+}
+
+// newLearningFleet has workers of 48 cores; those at even places are twice as fast as the
+// others.
+func newLearningFleet(t *testing.T, workers int, learn bool) *learningFleet {
+	f := &learningFleet{
+		fixture: &fixture{c: qt.New(t), now: time.Unix(1000, 0), clock: time.Minute},
+		rng:     rand.New(rand.NewPCG(1, 3)), workers: make(map[entry.LinkID]*leasedWorker), slowness: make(map[entry.LinkID]float64),
+		stuck: make(map[entry.LinkID]bool), ends: make(map[msg.AttemptID]end), answers: make(map[entry.Outcome]int),
+		judged: make(map[verdict.WorkerHealth]int), learned: make(map[string]float64), started: make(map[entry.LinkID]int),
+	}
+	f.core = entry.New(entry.Config{
+		Name: "e", Incarnation: entryIncarnation, StartWindow: 2 * time.Second, LearnSpeeds: learn,
+		SuspectAfter: 3 * time.Second, LostAfter: 10 * time.Second, HeartbeatInterval: time.Second,
+		AckDelay: 100 * time.Millisecond, RunLimit: time.Minute, MaxQueued: 100_000, MaxTasks: 1000, MaxPayload: 100,
+	})
+	f.step(entry.SetPolicy{Policy: leasedPolicy()})
+	for i := range workers {
+		w := f.linkLeased(fmt.Sprintf("w%02d", i), 48)
+		f.workers[w.link], f.slowness[w.link] = w, 0.7+0.7*float64(i%2)
+		f.links = append(f.links, w.link)
+	}
+	f.out = nil
+	return f
+}
+
+// submitJob submits a job whose tasks run for the declared time times a factor of the job.
+func (f *learningFleet) submitJob(jobType string, tasks int, declared time.Duration) {
+	f.jobs++
+	j := entry.Job{ID: f.jobs, Service: "s", JobType: jobType, Account: "a", Deadline: f.now.Add(20 * time.Second)}
+	// The payload carries the run time at a worker of slowness 1.
+	work := time.Duration(float64(declared) * math.Exp(0.4*f.rng.NormFloat64()))
+	for range tasks {
+		own := time.Duration(float64(work) * math.Exp(0.15*f.rng.NormFloat64()))
+		j.Tasks = append(j.Tasks, entry.Task{
+			DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: declared, Payload: []byte(own.String()),
+		})
+	}
+	f.step(entry.Submit{Job: j})
+	f.collect()
+}
+
+// collect starts what was dispatched, and records the other outputs.
+func (f *learningFleet) collect() {
+	out := f.out
+	f.out = nil
+	for _, o := range out {
+		switch o := o.(type) {
+		case entry.Answered:
+			f.answers[o.Answer.Outcome]++
+		case entry.WorkerJudged:
+			f.judged[o.Health]++
+		case entry.WorkerSpeedLearned:
+			f.learned[o.Worker] = o.Speed
+		case entry.RunTimeDiscarded:
+			f.discarded = append(f.discarded, o.Count)
+		case entry.Send:
+			f.sent(o)
+		}
+	}
+}
+
+func (f *learningFleet) sent(s entry.Send) {
+	switch m := s.Message.(type) {
+	case msg.Dispatch:
+		work, err := time.ParseDuration(string(m.Payload))
+		f.c.Assert(err, qt.IsNil)
+		took := time.Duration(float64(work) * f.slowness[s.Link])
+		f.started[s.Link]++
+		f.ends[m.Attempt] = end{f.now.Add(took), s.Link, m, took}
+		w := f.workers[s.Link]
+		w.cores -= m.Size.Cores
+		w.covers = max(w.covers, m.Seq)
+	case msg.Revoke:
+		for _, ref := range m.Attempts {
+			if e, ok := f.ends[ref.Attempt]; ok && m.Stop {
+				f.stops++
+				f.finish(e, msg.ResultAborted)
+			}
+		}
+	}
+}
+
+func (f *learningFleet) finish(e end, kind msg.ResultKind) {
+	delete(f.ends, e.dispatch.Attempt)
+	w := f.workers[e.link]
+	w.cores += e.dispatch.Size.Cores
+	f.send(w, msg.Result{Attempt: e.dispatch.Attempt, Kind: kind, RunTime: e.took, Report: w.report()})
+	f.collect()
+}
+
+// send sends a message of a worker whose clock shows the time.
+func (f *learningFleet) send(w *leasedWorker, m msg.FromAgent) {
+	w.clock = f.now.Sub(time.Unix(1000, 0))
+	w.send(m)
+}
+
+// play moves the time forward in steps of a millisecond, with a tick of the core each 20 ms.
+func (f *learningFleet) play(d time.Duration) {
+	for until := f.now.Add(d); f.now.Before(until); {
+		f.now = f.now.Add(time.Millisecond)
+		for _, e := range f.due() {
+			f.finish(e, msg.ResultOK)
+		}
+		if f.now.Sub(time.Unix(1000, 0))%tick == 0 {
+			f.core.Tick(f.now)
+			f.out = append(f.out, f.core.TakeOutputs()...)
+			f.collect()
+		}
+		if f.now.Sub(time.Unix(1000, 0))%(500*time.Millisecond) == 0 {
+			for _, link := range f.links {
+				f.send(f.workers[link], msg.Heartbeat{Report: f.workers[link].report(), Revision: 8})
+			}
+			f.collect()
+		}
+	}
+}
+
+// due returns the tasks that end now, in the order of their attempts.
+func (f *learningFleet) due() []end {
+	var due []end
+	for _, e := range f.ends {
+		if !e.at.After(f.now) && !f.stuck[e.link] {
+			due = append(due, e)
+		}
+	}
+	for i := range due {
+		for k := i + 1; k < len(due); k++ {
+			if due[k].dispatch.Attempt.Job < due[i].dispatch.Attempt.Job || due[k].dispatch.Attempt.Job == due[i].dispatch.Attempt.Job && due[k].dispatch.Attempt.Task < due[i].dispatch.Attempt.Task {
+				due[i], due[k] = due[k], due[i]
+			}
+		}
+	}
+	return due
+}
+
+// load submits a job of several tasks each 10 ms.
+func (f *learningFleet) load(d time.Duration) {
+	for until := f.now.Add(d); f.now.Before(until); {
+		f.submitJob("patient", 4, 100*time.Millisecond)
+		f.play(10 * time.Millisecond)
+	}
+}
+
+// Guards against workers that count as slow, and tasks that are stopped, because the workers'
+// speeds differ by two and declared run times are off: without learning both happen.
+func TestSteadySpeedsAreLearned(t *testing.T) {
+	f := newLearningFleet(t, 12, true)
+	f.load(20 * time.Second)
+	f.c.Check(f.learned, qt.HasLen, 12)
+	for name, speed := range f.learned {
+		fast := name[2]%2 == 0
+		f.c.Check(fast == (speed > 1), qt.IsTrue, qt.Commentf("%s: %v", name, speed))
+	}
+	f.c.Check(f.judged, qt.HasLen, 0)
+	f.c.Check(f.stops, qt.Equals, 0)
+	snapshot := f.core.Snapshot()
+	f.c.Check(snapshot.LearnedWorkers, qt.Equals, 12)
+	for _, w := range snapshot.Workers {
+		f.c.Check(w.SpeedUncertainty > 0 && w.SpeedUncertainty < 0.1, qt.IsTrue)
+	}
+	off := newLearningFleet(t, 12, false)
+	off.load(20 * time.Second)
+	f.c.Check(off.stops+off.judged[verdict.Slow] > 0, qt.IsTrue)
+	f.c.Check(off.learned, qt.HasLen, 0)
+}
+
+// Guards against a worker that turns 7.5 times as slow, or stands still, and keeps getting
+// tasks, whose tasks stay there, or that is not used again afterwards.
+func TestDegradedWorkerIsLeftAndUsedAgain(t *testing.T) {
+	for name, stuck := range map[string]bool{"7.5 times as slow": false, "stands still": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newLearningFleet(t, 12, true)
+			f.load(5 * time.Second)
+			bad := f.links[1]
+			usual := f.slowness[bad]
+			f.slowness[bad], f.stuck[bad] = 7.5*usual, stuck
+			f.load(time.Second)
+			f.c.Check(f.judged, qt.DeepEquals, map[verdict.WorkerHealth]int{verdict.Slow: 1})
+			before := f.started[bad]
+			f.load(5 * time.Second)
+			f.c.Check(f.started[bad]-before <= 2, qt.IsTrue, qt.Commentf("%d tasks while slow", f.started[bad]-before))
+			f.slowness[bad], f.stuck[bad] = usual, false
+			f.load(5 * time.Second)
+			f.c.Check(f.judged, qt.DeepEquals, map[verdict.WorkerHealth]int{verdict.Slow: 1, verdict.Sound: 1})
+			f.c.Check(f.started[bad]-before > 20, qt.IsTrue)
+			f.c.Check(f.answers[entry.Complete] > 1500, qt.IsTrue)
+			f.c.Check(f.answers[entry.Failed]+f.answers[entry.Refused], qt.Equals, 0)
+		})
+	}
+}
+
+// Guards against long tasks at slow workers, where their jobs are late, while fast workers
+// have room, and against a task that waits because only slow workers have room.
+func TestLongTasksGoToFastWorkers(t *testing.T) {
+	f := newLearningFleet(t, 12, true)
+	for i, link := range f.links {
+		f.slowness[link] = 0.55 + 1.25*float64(i%2)
+	}
+	f.load(5 * time.Second)
+	f.play(5 * time.Second)
+	clear(f.started)
+	for range 10 {
+		f.submitJob("patient", 4, 800*time.Millisecond)
+	}
+	atSlow := 0
+	for i, link := range f.links {
+		if i%2 == 1 {
+			atSlow += f.started[link]
+		}
+	}
+	f.c.Check(atSlow, qt.Equals, 0)
+	for range 14 {
+		f.submitJob("patient", 4, 800*time.Millisecond)
+	}
+	f.c.Check(len(f.ends), qt.Equals, 96)
+}
+
+// Guards against a speed that outlives its worker's instance.
+func TestNewInstanceHasNoSpeed(t *testing.T) {
+	f := newLearningFleet(t, 4, true)
+	f.load(5 * time.Second)
+	f.play(2 * time.Second)
+	w := f.workers[f.links[0]]
+	w.inc++
+	w.connect(true)
+	f.c.Check(f.core.Snapshot().LearnedWorkers, qt.Equals, 3)
+	f.c.Check(f.core.Expected("s", "patient", time.Second, w.name) > f.core.Expected("s", "patient", time.Second, "w02"), qt.IsTrue)
+}
+
+// Guards against run times that cannot be ones but change what is learned, and against ones
+// that are not counted.
+func TestInvalidRunTimesAreDiscarded(t *testing.T) {
+	f := newLearningFleet(t, 4, true)
+	f.load(time.Second)
+	f.play(2 * time.Second)
+	before := f.core.Expected("s", "patient", time.Second, "w00")
+	invalid := []time.Duration{0, -1, math.MinInt64, math.MaxInt64, 25 * time.Hour}
+	for _, took := range invalid {
+		f.submitJob("patient", 1, 100*time.Millisecond)
+		for _, e := range f.ends {
+			e.took = took
+			w := f.workers[e.link]
+			w.cores += e.dispatch.Size.Cores
+			f.send(w, msg.Result{Attempt: e.dispatch.Attempt, Kind: msg.ResultOK, RunTime: e.took, Report: w.report()})
+		}
+		clear(f.ends)
+		f.collect()
+	}
+	f.c.Check(f.discarded, qt.DeepEquals, []uint64{1, 2, 3, 4, 5})
+	f.c.Check(f.core.Expected("s", "patient", time.Second, "w00"), qt.Equals, before)
+}
+
+// Guards against declared run times at the ends of their range, which may not make a worker
+// slow or a task overdue, nor a duration overflow.
+func TestOddDeclaredRunTimesWithLearning(t *testing.T) {
+	f := newLearningFleet(t, 4, true)
+	for _, declared := range []time.Duration{math.MaxInt64, 0, -1, 1} {
+		for range 4 {
+			f.jobs++
+			task := entry.Task{DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: declared, Payload: []byte("100ms")}
+			f.step(entry.Submit{Job: entry.Job{
+				ID: f.jobs, Service: "s", JobType: "patient", Account: "a", Deadline: f.now.Add(time.Minute), Tasks: []entry.Task{task, task},
+			}})
+			f.collect()
+		}
+		f.play(time.Second)
+		f.c.Check(f.answers[entry.Complete], qt.Equals, int(f.jobs), qt.Commentf("declared %v", declared))
+	}
+	f.c.Check(f.judged[verdict.Slow], qt.Equals, 0)
+}
--- a/internal/core/entry/pass.go
+++ b/internal/core/entry/pass.go
@@ -17,12 +17,14 @@
 type pass struct {
 	// workers lists those that may get a task.
 	workers []*worker
-	// totalCores counts the cores of all usable workers of the service, freeCores those
-	// believed free.
+	// totalCores counts the cores of all usable workers of the service times their speeds,
+	// freeCores those believed free.
 	totalCores, freeCores float64
 	// lateCores counts the free cores that a late job may take; placedCores those that
 	// tasks got in this pass.
 	lateCores, placedCores float64
+	// leaveOutSlow is set if slow workers get trial tasks only.
+	leaveOutSlow bool
 	// maxFree is an upper bound of the free cores of any worker in the list.
 	maxFree float64
 	// examined counts the workers examined for a task, once for each task.
@@ -42,12 +44,12 @@
 		if w.slowdown.slow() {
 			slow++
 		}
-		p.totalCores += w.hello.Size.Cores
-		p.freeCores += w.room.Cores
+		p.totalCores += w.hello.Size.Cores * w.speed.Speed()
+		p.freeCores += w.room.Cores * w.speed.Speed()
 	}
-	leaveOutSlow := slow <= max(1, usable/slowDivisor)
+	p.leaveOutSlow = slow <= max(1, usable/slowDivisor)
 	for _, w := range c.workers.list {
-		if !w.usable() || !w.hello.Leased() || w.hello.Service != service || !w.eligible(now) || leaveOutSlow && w.excludedAsSlow(now) {
+		if !w.usable() || !w.hello.Leased() || w.hello.Service != service || !w.eligible(now) || p.leaveOutSlow && w.excludedAsSlow(now) {
 			continue
 		}
 		p.workers = append(p.workers, w)
@@ -58,8 +60,8 @@
 
 // placed records that a worker got a task. A worker on trial gets no other.
 func (p *pass) placed(w *worker, cores float64) {
-	p.freeCores -= cores
-	p.lateCores -= cores
+	p.freeCores -= cores * w.speed.Speed()
+	p.lateCores -= cores * w.speed.Speed()
 	p.placedCores += cores
 	if w.health.Quarantined() || w.slowdown.slow() {
 		p.workers = slices.DeleteFunc(p.workers, func(o *worker) bool { return o == w })
--- a/internal/core/entry/slowdown.go
+++ b/internal/core/entry/slowdown.go
@@ -106,11 +106,16 @@
 
 // recordRun records the run time of an ended task. The tasks of a job are compared only
 // once all have ended: before that, those at fast workers are the only ones.
-func (c *Core) recordRun(now time.Time, j *job, w *worker, started time.Time, took time.Duration) {
+func (c *Core) recordRun(now time.Time, a *attempt, w *worker, took time.Duration) {
+	j := a.job
+	if c.estimates != nil {
+		c.learnRun(now, a, w, took)
+		return
+	}
 	if !w.hello.Leased() || took <= 0 || len(j.spec.Steps) > 1 {
 		return
 	}
-	j.runs = append(j.runs, taskRun{w, started, took})
+	j.runs = append(j.runs, taskRun{w, a.sentAt, took})
 	if len(j.runs) < len(j.tasks) || len(j.runs) < 2 {
 		return
 	}
@@ -152,10 +157,14 @@
 			continue
 		}
 		if !w.slowdown.slow() && health.Silent(w.runningSinceLastEnd(now.Add(-c.answerAllowance()))) {
-			c.observeSlowdown(now, w, now, slowThreshold, 1)
+			c.judgeSilent(now, w)
 		}
 		for _, a := range w.outstanding {
-			c.checkAttempt(now, w, a)
+			if c.estimates != nil {
+				c.checkRun(now, w, a)
+			} else {
+				c.checkAttempt(now, w, a)
+			}
 		}
 	}
 }
@@ -167,7 +176,7 @@
 	for _, a := range w.outstanding {
 		if a.sentAt.After(w.lastEnd) {
 			running = append(running, health.Running{
-				Job: a.job.spec.ID, For: now.Sub(a.sentAt), Expected: a.job.spec.Tasks[a.task].DeclaredRunTime,
+				Job: a.job.spec.ID, For: now.Sub(a.sentAt), Expected: a.job.estimate.Longest(a.job.spec.Tasks[a.task].DeclaredRunTime, w.speed),
 			})
 		}
 	}
--- a/internal/core/entry/snapshot.go
+++ b/internal/core/entry/snapshot.go
@@ -18,9 +18,11 @@
 	Draining     bool
 	// MessageDelay is how late messages of agents are read.
 	MessageDelay time.Duration
-	Workers      []WorkerSnapshot
-	Accounts     []AccountSnapshot
-	Peers        []msg.Peer
+	// LearnedWorkers is the number of workers whose speed is learned.
+	LearnedWorkers int
+	Workers        []WorkerSnapshot
+	Accounts       []AccountSnapshot
+	Peers          []msg.Peer
 }
 
 // WorkerSnapshot is the entry's view of one worker.
@@ -34,6 +36,9 @@
 	Free        int
 	Outstanding int
 	Revision    uint64
+	// Speed is the learned speed relative to the mean of the service, and SpeedUncertainty
+	// the standard deviation of its logarithm. Both are zero unless a speed is learned.
+	Speed, SpeedUncertainty float64
 }
 
 // AccountSnapshot is the usage of one client account through this entry.
@@ -50,7 +55,8 @@
 // Snapshot returns a copy of the state. It changes nothing.
 func (c *Core) Snapshot() Snapshot {
 	return Snapshot{
-		Revision: c.policy.Revision, Jobs: len(c.jobs), QueuedTasks: c.queue.tasks,
+		LearnedWorkers: c.learnedWorkers(),
+		Revision:       c.policy.Revision, Jobs: len(c.jobs), QueuedTasks: c.queue.tasks,
 		RunningTasks: len(c.attempts), Links: len(c.workers.byLink), Draining: c.draining,
 		MessageDelay: c.MessageDelay(), Workers: c.workerSnapshots(), Accounts: c.accountSnapshots(), Peers: slices.Clone(c.peers),
 	}
@@ -75,7 +81,9 @@
 		if !w.linked() {
 			state = "unlinked"
 		}
+		speed, uncertainty := w.learnedSpeed()
 		out = append(out, WorkerSnapshot{
+			Speed: speed, SpeedUncertainty: uncertainty,
 			Name: w.name, FailureDomain: w.hello.FailureDomain, Service: w.hello.Service, State: state,
 			Slots: w.hello.Slots, Free: w.free, Outstanding: len(w.outstanding), Revision: w.revision,
 		})
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -8,6 +8,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/health"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/speed"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/invariant"
 )
@@ -49,6 +50,8 @@
 	outcomes health.Outcomes
 	health   health.Worker
 	slowdown slowdown
+	// speed is nil unless the core learns speeds.
+	speed *speed.Worker
 	// crashed is set from a crash of the worker until it takes tasks again.
 	crashed bool
 	// suspects counts the outstanding attempts of tasks under which a worker crashed before.
@@ -317,6 +320,7 @@
 	}
 	w.retired = append(w.retired, w.incarnation)
 	w.health, w.outcomes, w.slowdown = health.Worker{}, health.Outcomes{}, slowdown{}
+	c.forgetSpeed(w)
 	w.covered, w.lastReport, w.revision, w.clock, w.clockSeen = 0, 0, 0, 0, time.Time{}
 	w.transit = transit{}
 }
@@ -336,6 +340,7 @@
 	if h.Incarnation == w.incarnation && h.Report.Number <= w.lastReport {
 		return
 	}
+	c.trackSpeed(w, h)
 	w.hello, w.incarnation, w.revision = h, h.Incarnation, max(w.revision, h.Revision)
 	w.remote = c.cfg.FailureDomain != "" && h.FailureDomain != "" && h.FailureDomain != c.cfg.FailureDomain
 	w.report(h.Report)
@@ -429,6 +434,7 @@
 	for _, w := range lost {
 		c.loseAttempts(w, "the worker has been silent for too long")
 		c.unlink(w)
+		c.forgetSpeed(w)
 		c.workers.drop(w)
 	}
 	if len(lost) > 0 {
--- a/internal/core/estimate/estimate.go
+++ b/internal/core/estimate/estimate.go
@@ -125,6 +125,16 @@
 	return scale(declared, ratio*w.Slowness())
 }
 
+// Longest returns the run time to be expected of a task at a worker that may be as slow as
+// its speed is uncertain, and no less than runs take to be looked at.
+func (j *Job) Longest(declared time.Duration, w *speed.Worker) time.Duration {
+	if !j.known() {
+		return declared
+	}
+	ratio, _ := j.ratio()
+	return max(minCheck, scale(declared, ratio*w.MaxSlowness()))
+}
+
 // Dispatched records that a task of the job was sent to a worker.
 func (j *Job) Dispatched(now time.Time, declared time.Duration, w *speed.Worker) {
 	if end := now.Add(j.Expected(declared, w)); end.After(j.latestEnd) {
--- a/internal/core/estimate/overrun.go
+++ b/internal/core/estimate/overrun.go
@@ -104,8 +104,9 @@
 }
 
 // ratio returns the ratio of the run time so far to the declared one, at a worker of speed 1.
+// A worker whose speed is not known may be a slow one.
 func (o Overrun) ratio() float64 {
-	return o.Elapsed.Seconds() / (o.Declared.Seconds() * o.Worker.Slowness())
+	return o.Elapsed.Seconds() / (o.Declared.Seconds() * o.Worker.MaxSlowness())
 }
 
 // Stopped records that a run of the job was stopped.
--- a/internal/core/estimate/target.go
+++ b/internal/core/estimate/target.go
@@ -68,6 +68,12 @@
 	return t
 }
 
+// AllowsTrial reports whether the task can be a trial of a degraded worker: its job can be
+// expected in time even if the run is stopped and starts again elsewhere.
+func (t *Target) AllowsTrial(w *speed.Worker) bool {
+	return !t.objective || t.left >= t.run*(trialFactor*w.Slowness()+1)
+}
+
 // Penalty returns what the expected end at a worker subtracts from the worker's score. It is
 // equal for workers that serve the task equally well.
 func (t *Target) Penalty(w *speed.Worker) float64 {
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -71,10 +71,12 @@
 	// threshold is the sum from which a worker is degraded: three jobs that each count in
 	// full. Two would do so by chance in one of some ten thousand jobs.
 	threshold = 10.0
-	// doubt is the sum from which the speed is not updated.
+	// doubt is the sum from which a known speed is not updated. One that is hardly known is:
+	// until then a worker may look slow because the others of its first jobs are fast.
 	doubt = 2.0
 	// recoveredLog is the logarithm of the run times against the learned speed below which
-	// a run shows that a degraded worker has recovered.
+	// a run shows that a degraded worker has recovered. For one whose speed is hardly known,
+	// it is half of slowerUnknownLog.
 	recoveredLog = 0.34
 	// relearnAfter is how long a worker may be degraded before its new speed is learned in
 	// place of the old one, and relearnRuns the number of jobs that have shown it.
@@ -132,7 +134,15 @@
 func (w *Worker) Speed() float64 { return 1 / w.Slowness() }
 
 // Uncertainty returns the standard deviation of the logarithm of the speed.
-func (w *Worker) Uncertainty() float64 { return math.Sqrt(w.variance) }
+func (w *Worker) Uncertainty() float64 {
+	if w == nil {
+		return 0
+	}
+	return math.Sqrt(w.variance)
+}
+
+// MaxSlowness returns the slowness at the upper end of the uncertainty.
+func (w *Worker) MaxSlowness() float64 { return w.Slowness() * math.Exp(w.Uncertainty()) }
 
 // Learned reports whether the speed is known to about a tenth.
 func (w *Worker) Learned() bool { return w != nil && w.learned }
@@ -342,7 +352,7 @@
 	}
 	variance += s.noise * s.noise / w.n
 	s.test(now, w, excess, w.variance+variance)
-	if w.degraded || w.slower > doubt {
+	if w.degraded || w.slower > doubt && w.variance <= testedVariance {
 		return
 	}
 	// The test may have widened the variance of the speed.
@@ -435,7 +445,7 @@
 	if !w.degraded || !w.recent {
 		return
 	}
-	if excess < recoveredLog {
+	if excess < recoveredLog || w.variance > testedVariance && excess < slowerUnknownLog/2 {
 		w.degraded, w.slower, w.faster = false, 0, 0
 		s.changes = append(s.changes, Change{Worker: w, Kind: Recovered})
 		return
