--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,8 @@
 	InsecureNetwork bool          `toml:"insecure_network"`
 	Platform        EntryPlatform `toml:"platform"`
 	Timing          EntryTiming   `toml:"timing"`
+	// Placement chooses how tasks are placed.
+	Placement EntryPlacement `toml:"placement"`
 	// Source records where each value came from, for errors after loading.
 	Source Source `toml:"-"`
 }
@@ -116,6 +118,12 @@
 	Memory Bytes `toml:"memory"`
 }
 
+// EntryPlacement holds the settings of how an entry places tasks.
+type EntryPlacement struct {
+	// LearnSpeeds lets the entry learn run times and workers' speeds and decide by them.
+	LearnSpeeds bool `toml:"learn_speeds"`
+}
+
 // EntryTiming holds an entry's timeouts and intervals.
 type EntryTiming struct {
 	StartWindow       Duration `toml:"start_window"`
