--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -157,6 +157,14 @@
 				zap.Uint64("current", uint64(out.Current)), zap.Uint64("late", uint64(out.Late)))
 		case entry.WorkerJudged:
 			logevent.WorkerJudged.Log(l.log, zap.String("worker", out.Worker), zap.Stringer("health", out.Health))
+		case entry.WorkerSpeedLearned:
+			logevent.SpeedLearned.Log(l.log, zap.String("worker", out.Worker), zap.Float64("speed", out.Speed), zap.Float64("uncertainty", out.Uncertainty))
+		case entry.WorkerDegraded:
+			logevent.WorkerDegraded.Log(l.log, zap.String("worker", out.Worker), zap.Float64("speed", out.Speed), zap.Float64("ratio", out.Ratio))
+		case entry.RunTimeDiscarded:
+			if out.Count&(out.Count-1) == 0 {
+				logevent.RunTimeDiscarded.Log(l.log, zap.String("worker", out.Worker), zap.Int64("run_time_ns", int64(out.RunTime)), zap.Uint64("count", out.Count))
+			}
 		case entry.AttemptsReleased:
 			logevent.AttemptsReleased.Log(l.log, zap.String("worker", out.Worker),
 				zap.Int("attempts", out.Attempts), zap.Int64("silence_ms", out.Silence.Milliseconds()))
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -25,6 +25,8 @@
 		l.metrics.Retried(out.Reason)
 	case entry.WorkerJudged:
 		l.metrics.WorkerJudged(out.Health)
+	case entry.RunTimeDiscarded:
+		l.metrics.RunTimeDiscarded()
 	case entry.JobTypeConfined:
 		if out.Confined {
 			l.metrics.JobTypeConfined()
@@ -62,7 +64,7 @@
 	}
 	g := telemetry.Gauges{
 		QueuedTasks: s.QueuedTasks, RunningTasks: s.RunningTasks, OpenJobs: s.Jobs,
-		MessageDelay: s.MessageDelay, Links: s.Links, Revision: s.Revision, StoreReachable: d.storeReachable(),
+		MessageDelay: s.MessageDelay, LearnedWorkers: s.LearnedWorkers, Links: s.Links, Revision: s.Revision, StoreReachable: d.storeReachable(),
 	}
 	report := d.tableReport()
 	g.UnappliedValues, g.TableRejected = report.unapplied, report.rejected != ""
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -58,6 +58,8 @@
 	entryConflicts      = define("poplarlever_entry_conflicts_total", Counter, "links", "", "Links closed because a later process has taken the entry's name.", Agent)
 	announceRefusals    = define("poplarlever_announcements_refused_total", Counter, "announcements", "", "Announcements that were malformed or named another worker than the one that answers.", Agent)
 	workerHealth        = define("poplarlever_worker_health_changes_total", Counter, "changes", "health", "Changes in how the entry uses a worker: failing, slow, or sound again.", Entry)
+	runTimesDiscarded   = define("poplarlever_run_times_discarded_total", Counter, "tasks", "", "Reported run times of tasks that are not learned from, because they cannot be ones.", Entry)
+	learnedWorkers      = define("poplarlever_learned_workers", Gauge, "workers", "", "Workers whose speed the entry has learned; 0 without placement.learn_speeds.", Entry)
 	cancels             = define("poplarlever_cancels_total", Counter, "cancels", "outcome", "Cancels by the name of a job that callers sent to this entry, by outcome.", Entry)
 	workerCrashes       = define("poplarlever_worker_crashes_total", Counter, "crashes", "", "Crashes of the worker while tasks ran there.", Agent)
 	jobTypesConfined    = define("poplarlever_job_types_confined_total", Counter, "changes", "", "Job types confined to a part of the workers because their tasks crash workers.", Entry)
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -24,6 +24,8 @@
 	TableRejected bool
 	// MessageDelay is how late the entry reads the messages of its agents.
 	MessageDelay time.Duration
+	// LearnedWorkers is the number of workers whose speed is learned.
+	LearnedWorkers int
 }
 
 // Observe exports the gauges that read returns at each collection. Read returns
@@ -37,6 +39,7 @@
 		links:          func(g Gauges) int64 { return int64(g.Links) },
 		revision:       func(g Gauges) int64 { return int64(g.Revision) },
 		messageDelay:   func(g Gauges) int64 { return g.MessageDelay.Microseconds() },
+		learnedWorkers: func(g Gauges) int64 { return int64(g.LearnedWorkers) },
 		unapplied:      func(g Gauges) int64 { return int64(g.UnappliedValues) },
 		tableRejected:  func(g Gauges) int64 { return boolToInt64(g.TableRejected) },
 		storeReachable: func(g Gauges) int64 { return boolToInt64(g.StoreReachable) },
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -41,6 +41,7 @@
 	dispatched, started, ended        *labelledCounter
 	workerConflicts, entryConflicts   *labelledCounter
 	workerHealth                      *labelledCounter
+	runTimesDiscarded                 *labelledCounter
 	announceRefusals                  *labelledCounter
 	workerCrashes, jobTypesConfined   *labelledCounter
 	endedLate, pauses, cancels        *labelledCounter
@@ -93,6 +94,7 @@
 	m.workerConflicts, m.entryConflicts = m.newCounter(workerConflicts, "", ""), m.newCounter(entryConflicts, "", "")
 	m.announceRefusals = m.newCounter(announceRefusals, "", "")
 	m.workerCrashes, m.jobTypesConfined = m.newCounter(workerCrashes, "", ""), m.newCounter(jobTypesConfined, "", "")
+	m.runTimesDiscarded = m.newCounter(runTimesDiscarded, "", "")
 	m.workerHealth = m.newCounter(workerHealth, "health")
 	for _, h := range verdict.WorkerHealths() {
 		m.workerHealth.add(h.String(), 0)
@@ -161,6 +163,9 @@
 	m.pauses.add(kind, 1)
 }
 
+// RunTimeDiscarded counts a reported run time that cannot be one.
+func (m *Metrics) RunTimeDiscarded() { m.runTimesDiscarded.add("", 1) }
+
 // JobTypeConfined counts a job type whose tasks are confined to a part of the workers.
 func (m *Metrics) JobTypeConfined() { m.jobTypesConfined.add("", 1) }
 
