--- a/internal/command/statusprint.go
+++ b/internal/command/statusprint.go
@@ -48,10 +48,10 @@
 	for _, r := range reports {
 		printEntry(tab, r)
 	}
-	fmt.Fprintln(tab, "\nWORKER\tDOMAIN\tSERVICE\tSTATE\tREVISION\tSLOTS\tRUNNING\tENTRIES")
+	fmt.Fprintln(tab, "\nWORKER\tDOMAIN\tSERVICE\tSTATE\tREVISION\tSLOTS\tRUNNING\tENTRIES\tSPEED")
 	for _, worker := range mergeWorkers(reports) {
-		fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", worker.Name, worker.FailureDomain, worker.Service,
-			worker.State, worker.Revision, worker.Slots, worker.Outstanding, worker.entries)
+		fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\n", worker.Name, worker.FailureDomain, worker.Service,
+			worker.State, worker.Revision, worker.Slots, worker.Outstanding, worker.entries, speedOf(worker.WorkerStatus))
 	}
 	fmt.Fprintln(tab, "\nACCOUNT\tQUEUED\tRUNNING\tSHARE\tDUE")
 	accounts, running := mergeAccounts(reports)
@@ -99,6 +99,15 @@
 		e.GetUptime().AsDuration().Round(time.Second))
 }
 
+// speedOf returns a worker's speed relative to the mean of its service, with its
+// uncertainty.
+func speedOf(w *pb.WorkerStatus) string {
+	if w.GetSpeed() == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f ±%s", w.GetSpeed(), percent(w.GetSpeedUncertainty()))
+}
+
 func percent(part float64) string { return fmt.Sprintf("%.0f%%", 100*part) }
 
 // mergedWorker combines the statuses of a worker from all queried entries.
@@ -108,8 +117,8 @@
 }
 
 // mergeWorkers combines the reports by worker and sorts them by name. Outstanding
-// tasks are added up, the revision is the lowest one, and the state is that of an
-// entry that does not see the worker up, if there is one.
+// tasks are added up, the revision is the lowest one, the state is that of an entry that
+// does not see the worker up, if there is one, and the speed is the least uncertain one.
 func mergeWorkers(reports []entryReport) []mergedWorker {
 	var merged []mergedWorker
 	index := make(map[string]int)
@@ -125,6 +134,9 @@
 			m.entries++
 			m.Outstanding += w.Outstanding
 			m.Revision = min(m.Revision, w.Revision)
+			if w.Speed > 0 && (m.Speed == 0 || w.SpeedUncertainty < m.SpeedUncertainty) {
+				m.Speed, m.SpeedUncertainty = w.Speed, w.SpeedUncertainty
+			}
 			if w.State != "up" {
 				m.State = w.State
 			}
--- a/internal/entryd/operator.go
+++ b/internal/entryd/operator.go
@@ -41,6 +41,7 @@
 		out[i] = &pb.WorkerStatus{
 			Name: w.Name, FailureDomain: w.FailureDomain, Service: w.Service, State: w.State,
 			Slots: uint32(w.Slots), Free: uint32(w.Free), Outstanding: uint32(w.Outstanding), Revision: w.Revision,
+			Speed: w.Speed, SpeedUncertainty: w.SpeedUncertainty,
 		}
 	}
 	return out
