Look for an alternative to a run only if it is unusual

Change: the workers are gone through for an alternative only where the run may be stopped at all; the runs of a job are allocated once. A test plays the faults of the leased world with entries that learn speeds.

Evidence: go test ./internal/core/estimate ./internal/core/entry ./internal/core/coretest -run LearnedSpeeds.

--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -61,6 +61,8 @@
 	// bounded holds the links of agents to some of the entries, or is nil if each agent
 	// links to every entry.
 	bounded *boundedLinks
+	// learnSpeeds is set if the entries learn run times and speeds.
+	learnSpeeds bool
 	// lastCheck is the time of the last check by checkSingleRun.
 	lastCheck time.Time
 }
@@ -160,8 +162,8 @@
 	e.core = entry.New(entry.Config{
 		Name: e.name, Incarnation: inc, Seed: uint64(inc), StartWindow: 2 * time.Second,
 		SuspectAfter: 600 * time.Millisecond, LostAfter: 5 * time.Second, HeartbeatInterval: 200 * time.Millisecond,
-		IdleHeartbeat: w.idleHeartbeat,
-		AckDelay:      50 * time.Millisecond, RunLimit: time.Minute, MaxQueued: 1000, MaxTasks: 100, MaxPayload: 1 << 10,
+		IdleHeartbeat: w.idleHeartbeat, LearnSpeeds: w.learnSpeeds,
+		AckDelay: 50 * time.Millisecond, RunLimit: time.Minute, MaxQueued: 1000, MaxTasks: 100, MaxPayload: 1 << 10,
 	})
 	if w.bounded != nil {
 		w.bounded.entryDied(e)
--- a/internal/core/entry/learning.go
+++ b/internal/core/entry/learning.go
@@ -69,7 +69,7 @@
 
 func (c *Core) estimateJob(j *job) {
 	if c.estimates != nil {
-		j.estimate, j.objective = c.estimates.Job(j.spec.Service, j.spec.JobType), j.policy.objective(j.spec)
+		j.estimate, j.objective = c.estimates.Job(j.spec.Service, j.spec.JobType, len(j.tasks)), j.policy.objective(j.spec)
 	}
 }
 
@@ -183,6 +183,9 @@
 	if rare {
 		c.countOverdue(now, a, &o, share)
 	}
+	if !o.Unusual(share) {
+		return
+	}
 	if to, ok := c.alternative(w, a); ok && j.estimate.Stop(o, to) {
 		c.countOverdue(now, a, &o, share)
 		t.lastFailedWorker = w.name
--- a/internal/core/entry/learning_test.go
+++ b/internal/core/entry/learning_test.go
@@ -311,3 +311,18 @@
 	}
 	f.c.Check(f.judged[verdict.Slow], qt.Equals, 0)
 }
+
+// Guards against decisions by expected ends that take more processor time than a small entry
+// has: one second of load at 65 workers, with learning and without.
+func BenchmarkSecondOfLoad(b *testing.B) {
+	for _, learn := range []bool{false, true} {
+		b.Run(fmt.Sprint("learn ", learn), func(b *testing.B) {
+			f := newLearningFleet(&testing.T{}, 65, learn)
+			f.load(5 * time.Second)
+			b.ReportAllocs()
+			for b.Loop() {
+				f.load(time.Second)
+			}
+		})
+	}
+}
--- a/internal/core/estimate/estimate.go
+++ b/internal/core/estimate/estimate.go
@@ -87,6 +87,7 @@
 type Job struct {
 	dist  *runtimes.Distribution
 	speed *speed.Service
+	tasks int
 	// runs holds the runs that have ended, sum the logarithms of their ratios at a worker of
 	// speed 1.
 	runs []speed.Run
@@ -99,9 +100,9 @@
 	blamed  *speed.Worker
 }
 
-// Job returns what is known of a job that arrives.
-func (e *Estimator) Job(service, jobType string) Job {
-	return Job{dist: e.types.Of(service, jobType), speed: e.service(service)}
+// Job returns what is known of a job of so many tasks that arrives.
+func (e *Estimator) Job(service, jobType string, tasks int) Job {
+	return Job{dist: e.types.Of(service, jobType), speed: e.service(service), tasks: tasks}
 }
 
 // known reports whether the job has an estimate.
@@ -147,6 +148,9 @@
 	if !j.known() || declared <= 0 {
 		return
 	}
+	if j.runs == nil {
+		j.runs = make([]speed.Run, 0, j.tasks)
+	}
 	x := math.Log(float64(took) / float64(declared))
 	j.runs = append(j.runs, speed.Run{Worker: w, Started: started, LogRatio: x, Counted: counted})
 	j.sum += x - w.LogSlowness()
--- a/internal/core/estimate/estimate_test.go
+++ b/internal/core/estimate/estimate_test.go
@@ -75,7 +75,7 @@
 
 // play runs a job at the given workers, or at random ones, to its end.
 func (p *world) play(k kind, stop bool, at ...int) {
-	j := p.estimator.Job("s", k.name)
+	j := p.estimator.Job("s", k.name, k.tasks)
 	factor, tail := 1.15*math.Exp(0.4*p.rng.NormFloat64()), 1.0
 	if p.rng.Float64() < 0.03 {
 		tail = 7
@@ -222,7 +222,7 @@
 	}
 	late := objective.Objective{Target: 60 * time.Millisecond, Factor: 1.6}
 	penalty := func(k kind, worker int, waited time.Duration, prepare func(*Job)) float64 {
-		j, o := p.estimator.Job("s", k.name), late
+		j, o := p.estimator.Job("s", k.name, k.tasks), late
 		o.Longest = k.declared
 		prepare(&j)
 		target := j.Target(p.now, p.now.Add(-waited), o, k.declared, 0)
--- a/internal/core/estimate/overrun.go
+++ b/internal/core/estimate/overrun.go
@@ -34,8 +34,7 @@
 	likely = 0.5
 	// trialFactor times its expected run time is the time that a trial task is given.
 	trialFactor = 1.5
-	// unusual is the share of the runs of a kind below which a run at a worker that is not
-	// known to be degraded may be stopped, whatever other runs there were like.
+	// unusual is the share of the runs of a kind below which one is unusual.
 	unusual = 0.02
 	// tailShare is the share of the tasks of a job that differ by tailFactor times the
 	// noise from the others.
@@ -109,6 +108,11 @@
 	return o.Elapsed.Seconds() / (o.Declared.Seconds() * o.Worker.MaxSlowness())
 }
 
+// Unusual reports whether a run may be stopped at all, given the share of the runs of its kind
+// that take as long: one at a worker that is not known to be degraded has to be unusual
+// itself, whatever other runs there were like.
+func (o Overrun) Unusual(share float64) bool { return share <= unusual || o.Worker.Degraded() }
+
 // Stopped records that a run of the job was stopped.
 func (j *Job) Stopped() { j.stopped = true }
 
@@ -128,7 +132,7 @@
 	share, remaining := j.outlook(ran)
 	o.OthersLong = j.othersLong(o)
 	p := o.degraded(share)
-	if p < likely || share > unusual && !o.Worker.Degraded() {
+	if p < likely || !o.Unusual(share) {
 		return false
 	}
 	here := o.Worker.Slowness() * ((1-p)*remaining + p*max(fault*usual-ran, ran))
