Place tasks that end in time by free room alone

Cause: tasks that end in time anywhere were drawn to slow workers, to keep fast ones for the tasks that need them.

Change: the penalty is gone, so that fast and slow workers are equally busy. A test compares the late jobs with learning and without.

--- a/internal/core/entry/learning_test.go
+++ b/internal/core/entry/learning_test.go
@@ -33,6 +33,9 @@
 	// discarded holds the counts of invalid run times.
 	discarded []uint64
 	stops     int
+	// wanted holds when the open jobs' answers are late, late counts those that were.
+	wanted map[uint64]time.Time
+	late   int
 }
 
 type end struct {
@@ -50,13 +53,16 @@
 		rng:     rand.New(rand.NewPCG(1, 3)), workers: make(map[entry.LinkID]*leasedWorker), slowness: make(map[entry.LinkID]float64),
 		stuck: make(map[entry.LinkID]bool), ends: make(map[msg.AttemptID]end), answers: make(map[entry.Outcome]int),
 		judged: make(map[verdict.WorkerHealth]int), learned: make(map[string]float64), started: make(map[entry.LinkID]int),
+		wanted: make(map[uint64]time.Time),
 	}
 	f.core = entry.New(entry.Config{
 		Name: "e", Incarnation: entryIncarnation, StartWindow: 2 * time.Second, LearnSpeeds: learn,
 		SuspectAfter: 3 * time.Second, LostAfter: 10 * time.Second, HeartbeatInterval: time.Second,
 		AckDelay: 100 * time.Millisecond, RunLimit: time.Minute, MaxQueued: 100_000, MaxTasks: 1000, MaxPayload: 100,
 	})
-	f.step(entry.SetPolicy{Policy: leasedPolicy()})
+	p := leasedPolicy()
+	p.Services["s"].JobTypes["long"] = entry.JobTypePolicy{MaxAttempts: 2, Priority: 2, ResponseTarget: 60 * time.Millisecond, ResponseFactor: 1.6}
+	f.step(entry.SetPolicy{Policy: p})
 	for i := range workers {
 		w := f.linkLeased(fmt.Sprintf("w%02d", i), 48)
 		f.workers[w.link], f.slowness[w.link] = w, 0.7+0.7*float64(i%2)
@@ -72,12 +78,15 @@
 	j := entry.Job{ID: f.jobs, Service: "s", JobType: jobType, Account: "a", Deadline: f.now.Add(20 * time.Second)}
 	// The payload carries the run time at a worker of slowness 1.
 	work := time.Duration(float64(declared) * math.Exp(0.4*f.rng.NormFloat64()))
+	longest := time.Duration(0)
 	for range tasks {
 		own := time.Duration(float64(work) * math.Exp(0.15*f.rng.NormFloat64()))
+		longest = max(longest, own)
 		j.Tasks = append(j.Tasks, entry.Task{
 			DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: declared, Payload: []byte(own.String()),
 		})
 	}
+	f.wanted[f.jobs] = f.now.Add(longest*8/5 + 60*time.Millisecond)
 	f.step(entry.Submit{Job: j})
 	f.collect()
 }
@@ -90,6 +99,10 @@
 		switch o := o.(type) {
 		case entry.Answered:
 			f.answers[o.Answer.Outcome]++
+			if o.Answer.Outcome != entry.Complete || f.now.After(f.wanted[o.Job]) {
+				f.late++
+			}
+			delete(f.wanted, o.Job)
 		case entry.WorkerJudged:
 			f.judged[o.Health]++
 		case entry.WorkerSpeedLearned:
@@ -326,3 +339,55 @@
 		})
 	}
 }
+
+// mixedLoad submits jobs of three types for the time, at a rate that varies by a third.
+func (f *learningFleet) mixedLoad(d time.Duration, rate float64) {
+	for until := f.now.Add(d); f.now.Before(until); f.play(time.Millisecond) {
+		now := rate * 1.3
+		if until.Sub(f.now)/(3*time.Second)%2 == 0 {
+			now = rate * 0.7
+		}
+		if f.rng.Float64() >= now/1000 {
+			continue
+		}
+		switch p := f.rng.Float64(); {
+		case p < 0.24:
+			f.submitJob("urgent", 8, 55*time.Millisecond)
+		case p < 0.95:
+			f.submitJob("patient", 2, 180*time.Millisecond)
+		default:
+			f.submitJob("long", 4, 800*time.Millisecond)
+		}
+	}
+}
+
+// Guards against jobs that are late although other workers have room, and against workers
+// that are left out for nothing, where a quarter of the workers are twice or three times as
+// fast as the others, at half of the capacity. Guards also against fast workers that are
+// overrun or idle. The mean of the speeds is the one that callers measure by.
+func TestFewerJobsAreLateWithLearning(t *testing.T) {
+	for _, slowness := range [][2]float64{{0.55, 1.2}, {0.45, 1.35}} {
+		late := make(map[bool]int)
+		for _, learn := range []bool{false, true} {
+			f := newLearningFleet(t, 16, learn)
+			for i, link := range f.links {
+				f.slowness[link] = slowness[min(1, i%4)]
+			}
+			f.mixedLoad(12*time.Second, 200)
+			busy := []float64{0, 0}
+			for range 200 {
+				f.mixedLoad(10*time.Millisecond, 200)
+				for i, link := range f.links {
+					busy[min(1, i%4)] += (48 - f.workers[link].cores) / []float64{4, 12}[min(1, i%4)]
+				}
+			}
+			late[learn] = f.late
+			t.Logf("slowness %v, learning %v: %d of %d jobs late, %d tasks stopped, judged %v", slowness, learn, f.late, f.jobs, f.stops, f.judged)
+			if learn {
+				f.c.Check(f.judged, qt.HasLen, 0)
+				f.c.Check(busy[0]/busy[1] > 0.7 && busy[0]/busy[1] < 1.4, qt.IsTrue, qt.Commentf("%v", busy))
+			}
+		}
+		qt.New(t).Check(2*late[true] < late[false], qt.IsTrue, qt.Commentf("%v", late))
+	}
+}
--- a/internal/core/estimate/target.go
+++ b/internal/core/estimate/target.go
@@ -16,9 +16,6 @@
 	// latenessPenalty is added to it, times how late the task ends in parts of its run time:
 	// of workers that are all too late, the fastest is the best.
 	latenessPenalty = 0.3
-	// thriftPenalty is what a task that ends in time in any case adds for each doubling of a
-	// worker's speed, so that the fast workers have room for the tasks that need them.
-	thriftPenalty = 0.15
 	// slownessPenalty is what a task without an objective adds for each halving of a worker's
 	// speed.
 	slownessPenalty = 0.4
@@ -88,7 +85,7 @@
 	// A ratio that is off moves the run time and the wanted time alike.
 	deviation := math.Hypot(t.noise*run, t.deviation*(t.wanted-run))
 	if slack >= certain*deviation {
-		return thriftPenalty * max(0, -w.LogSlowness()/math.Ln2)
+		return 0
 	}
 	late := 1.0
 	if slack > -certain*deviation {
