Do not take ends that are noticed late for slowness

Cause: the agent measures a run from its call to the answer that shows the end. Where answers are lost, a call is repeated after some tens of milliseconds, which for a task of 50 ms looks like half the speed.

Change: the first 30 ms above the expected run time count neither as evidence that a worker has become slower nor as an overrun.

--- a/internal/core/entry/learning_test.go
+++ b/internal/core/entry/learning_test.go
@@ -30,6 +30,8 @@
 	judged  map[verdict.WorkerHealth]int
 	learned map[string]float64
 	started map[entry.LinkID]int
+	// lateEnds is the share of the ends that are noticed 30 ms late.
+	lateEnds float64
 	// discarded holds the counts of invalid run times.
 	discarded []uint64
 	stops     int
@@ -121,6 +123,9 @@
 		work, err := time.ParseDuration(string(m.Payload))
 		f.c.Assert(err, qt.IsNil)
 		took := time.Duration(float64(work) * f.slowness[s.Link])
+		if f.rng.Float64() < f.lateEnds {
+			took += 30 * time.Millisecond
+		}
 		f.started[s.Link]++
 		f.ends[m.Attempt] = end{f.now.Add(took), s.Link, m, took}
 		w := f.workers[s.Link]
@@ -340,6 +345,18 @@
 	}
 }
 
+// Guards against workers that count as degraded because answers of theirs are lost, so that
+// the end of an eighth of the runs is noticed late.
+func TestLateEndsAreNotSlowness(t *testing.T) {
+	f := newLearningFleet(t, 12, true)
+	f.lateEnds = 0.125
+	for until := f.now.Add(20 * time.Second); f.now.Before(until); f.play(10 * time.Millisecond) {
+		f.submitJob("urgent", 8, 30*time.Millisecond)
+	}
+	f.c.Check(f.judged, qt.HasLen, 0)
+	f.c.Check(f.stops, qt.Equals, 0)
+}
+
 // mixedLoad submits jobs of three types for the time, at a rate that varies by a third.
 func (f *learningFleet) mixedLoad(d time.Duration, rate float64) {
 	for until := f.now.Add(d); f.now.Before(until); f.play(time.Millisecond) {
--- a/internal/core/estimate/estimate.go
+++ b/internal/core/estimate/estimate.go
@@ -143,6 +143,15 @@
 	}
 }
 
+const (
+	// noticeDelay is by how much later than it happened the start or the end of a run may be
+	// noticed: a call to the worker whose answer is lost is repeated after some tens of
+	// milliseconds. A degraded worker takes a multiple of the time instead.
+	noticeDelay = 30 * time.Millisecond
+	// maxNoticeFactor bounds the effect of noticeDelay on a short run.
+	maxNoticeFactor = 4
+)
+
 // Ended records a run of the job that has ended. The run time has to be valid.
 func (j *Job) Ended(w *speed.Worker, started time.Time, took, declared time.Duration, counted bool) {
 	if !j.known() || declared <= 0 {
@@ -152,7 +161,8 @@
 		j.runs = make([]speed.Run, 0, j.tasks)
 	}
 	x := math.Log(float64(took) / float64(declared))
-	j.runs = append(j.runs, speed.Run{Worker: w, Started: started, LogRatio: x, Counted: counted})
+	doubt := math.Log(float64(took) / float64(max(took-noticeDelay, took/maxNoticeFactor)))
+	j.runs = append(j.runs, speed.Run{Worker: w, Started: started, LogRatio: x, Doubt: doubt, Counted: counted})
 	j.sum += x - w.LogSlowness()
 }
 
--- a/internal/core/estimate/overrun.go
+++ b/internal/core/estimate/overrun.go
@@ -105,7 +105,7 @@
 // ratio returns the ratio of the run time so far to the declared one, at a worker of speed 1.
 // A worker whose speed is not known may be a slow one.
 func (o Overrun) ratio() float64 {
-	return o.Elapsed.Seconds() / (o.Declared.Seconds() * o.Worker.MaxSlowness())
+	return max(0, o.Elapsed-noticeDelay).Seconds() / (o.Declared.Seconds() * o.Worker.MaxSlowness())
 }
 
 // Unusual reports whether a run may be stopped at all, given the share of the runs of its kind
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -107,6 +107,7 @@
 	// The fields below hold the values of the job that is being compared.
 	stamp           uint64
 	sum, n, weight  float64
+	doubt           float64
 	counted, recent bool
 }
 
@@ -226,6 +227,8 @@
 	Started time.Time
 	// LogRatio is the logarithm of run time divided by declared run time.
 	LogRatio float64
+	// Doubt is by how much LogRatio may be too high because the end was noticed late.
+	Doubt float64
 	// Counted is set for a run that counted as evidence before it ended.
 	Counted bool
 }
@@ -309,10 +312,11 @@
 			continue
 		}
 		if w.stamp != s.stamp {
-			w.stamp, w.sum, w.n, w.counted, w.recent = s.stamp, 0, 0, false, true
+			w.stamp, w.sum, w.n, w.doubt, w.counted, w.recent = s.stamp, 0, 0, 0, false, true
 			s.groups = append(s.groups, w)
 		}
 		w.sum += r.LogRatio
+		w.doubt += r.Doubt
 		w.n++
 		w.counted = w.counted || r.Counted
 		w.recent = w.recent && r.Started.After(w.degradedAt)
@@ -420,7 +424,7 @@
 		// It was learned while the worker was slow; only the newest runs count.
 		w.faster, w.variance = 0, priorVariance
 	}
-	slower := evidence(excess, change, variance)
+	slower := evidence(excess-w.doubt/w.n, change, variance)
 	if w.counted {
 		slower = min(slower, 0)
 	}
