--- a/internal/core/estimate/estimate_test.go
+++ b/internal/core/estimate/estimate_test.go
@@ -60,11 +60,11 @@
 
 // running is a task in progress in a played job.
 type running struct {
-	worker, stops    int
-	work             time.Duration
-	started, ends    time.Time
-	checkAt          time.Time
-	counted, stopped bool
+	worker, stops int
+	work          time.Duration
+	started, ends time.Time
+	checkAt       time.Time
+	counted       bool
 }
 
 func (p *world) start(j *Job, r *running, worker int, declared time.Duration) {
