--- a/internal/core/entry/export_test.go
+++ b/internal/core/entry/export_test.go
@@ -55,6 +55,12 @@
 	c.setPolicy(c.now, old)
 }
 
+// TotalCores returns the cores of the latest pass over the service's queue.
+func (c *Core) TotalCores(service string) float64 { return c.queue.services[service].pass.totalCores }
+
+// SpeedRecords returns the number of workers of the service of which something is learned.
+func (c *Core) SpeedRecords(service string) int { return c.estimates.Workers(service) }
+
 // WorkersExamined returns how many workers the latest pass over the service's queue
 // examined.
 func (c *Core) WorkersExamined(service string) int { return c.queue.services[service].pass.examined }
--- a/internal/core/entry/learning_test.go
+++ b/internal/core/entry/learning_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -184,13 +185,7 @@
 			due = append(due, e)
 		}
 	}
-	for i := range due {
-		for k := i + 1; k < len(due); k++ {
-			if due[k].dispatch.Attempt.Job < due[i].dispatch.Attempt.Job || due[k].dispatch.Attempt.Job == due[i].dispatch.Attempt.Job && due[k].dispatch.Attempt.Task < due[i].dispatch.Attempt.Task {
-				due[i], due[k] = due[k], due[i]
-			}
-		}
-	}
+	slices.SortFunc(due, func(a, b end) int { return a.dispatch.Attempt.Compare(b.dispatch.Attempt) })
 	return due
 }
 
@@ -276,16 +271,29 @@
 	f.c.Check(len(f.ends), qt.Equals, 96)
 }
 
-// Guards against a speed that outlives its worker's instance.
+// Guards against a speed that outlives its worker's instance, records that are kept for
+// workers that are gone, and capacity that is counted without the speeds.
 func TestNewInstanceHasNoSpeed(t *testing.T) {
 	f := newLearningFleet(t, 4, true)
 	f.load(5 * time.Second)
 	f.play(2 * time.Second)
+	f.submitJob("patient", 1, 100*time.Millisecond)
+	cores := 0.0
+	for _, w := range f.core.Snapshot().Workers {
+		f.c.Check(w.Speed > 1.2 || w.Speed < 0.8, qt.IsTrue)
+		cores += 48 * w.Speed
+	}
+	f.c.Check(math.Abs(f.core.TotalCores("s")-cores) < 0.01, qt.IsTrue, qt.Commentf("%v, want %v", f.core.TotalCores("s"), cores))
+	f.play(time.Second)
 	w := f.workers[f.links[0]]
 	w.inc++
 	w.connect(true)
 	f.c.Check(f.core.Snapshot().LearnedWorkers, qt.Equals, 3)
 	f.c.Check(f.core.Expected("s", "patient", time.Second, w.name) > f.core.Expected("s", "patient", time.Second, "w02"), qt.IsTrue)
+	f.c.Check(f.core.SpeedRecords("s"), qt.Equals, 4)
+	f.links = nil
+	f.play(20 * time.Second)
+	f.c.Check(f.core.SpeedRecords("s"), qt.Equals, 0)
 }
 
 // Guards against run times that cannot be ones but change what is learned, and against ones
--- a/internal/core/estimate/estimate.go
+++ b/internal/core/estimate/estimate.go
@@ -49,6 +49,14 @@
 	return e.service(service).Worker(name)
 }
 
+// Workers returns the number of the service's workers of which something is known.
+func (e *Estimator) Workers(service string) int {
+	if s, ok := e.services[service]; ok {
+		return s.Len()
+	}
+	return 0
+}
+
 // Forget discards what is known of a worker.
 func (e *Estimator) Forget(service, name string) {
 	s, ok := e.services[service]
