Let jobs give way by their type on arrival at a full service

All types share one queue in the order of their latest starts.

core/shedding marks a job by what its type has offered: usual, excess or protected. Once the queue needs a fraction of the time that the most urgent type can wait, excess gives way, then usual jobs by urgency. Off unless admission.shed_by_job_type is set. Refusals have the reason shed.

--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -57,6 +57,9 @@
 	RunLimit time.Duration
 	// LearnSpeeds lets the core learn run times and workers' speeds, and decide by them.
 	LearnSpeeds bool
+	// ShedByJobType lets jobs give way on arrival while their service is full: those of types
+	// that send more than usual, and of less urgent types.
+	ShedByJobType bool
 	// MaxQueued is the largest number of queued tasks.
 	MaxQueued int
 	// MaxTasks is the largest number of tasks in a job.
--- a/internal/core/entry/overload.go
+++ b/internal/core/entry/overload.go
@@ -6,6 +6,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/objective"
+	"github.com/poplarlever/poplarlever/internal/core/shedding"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
@@ -77,13 +78,42 @@
 	if !j.confined {
 		flow.Arrived(now, j.cores(), j.policy.objective(j.spec).Longest)
 	}
-	if hopeless {
-		c.emit(Answered{Job: j.spec.ID, Answer: Answer{
-			Outcome: Refused, Verdict: verdict.NotRun, Reason: verdict.WouldMissDeadline,
-			Message: "no worker is expected to have room in time", RetryAfter: c.retryAfterRoom(now, j.spec.Service),
-		}})
+	// Each job is recorded, whether it is hopeless or not.
+	shed := c.sheds(now, j)
+	switch {
+	case hopeless:
+		c.refuseFull(now, j, verdict.WouldMissDeadline, "no worker is expected to have room in time")
+	case shed:
+		c.refuseFull(now, j, verdict.Shed, "the service is full, and jobs of this type give way")
+	}
+	return hopeless || shed
+}
+
+// refuseFull refuses a job that has just arrived at a full service.
+func (c *Core) refuseFull(now time.Time, j *job, reason verdict.Reason, message string) {
+	c.emit(Answered{Job: j.spec.ID, Answer: Answer{
+		Outcome: Refused, Verdict: verdict.NotRun, Reason: reason, Message: message, RetryAfter: c.retryAfterRoom(now, j.spec.Service),
+	}})
+}
+
+// sheds reports whether a job that has just arrived gives way to others.
+func (c *Core) sheds(now time.Time, j *job) bool {
+	if !c.cfg.ShedByJobType || j.latestStart.IsZero() || j.confined || !j.sized() {
+		return false
 	}
-	return hopeless
+	s := c.queue.services[j.spec.Service]
+	return !s.shedder.Admit(now, shedding.Job{
+		Type: j.spec.JobType, Priority: j.policy.Priority, Work: j.declaredWork(), MaxWait: j.latestStart.Sub(now),
+	}, s.flow.Wait(s.coresInTime()))
+}
+
+// declaredWork returns the work of the job's tasks in core-seconds.
+func (j *job) declaredWork() float64 {
+	sum := 0.0
+	for _, t := range j.spec.Tasks {
+		sum += t.DeclaredSize.Cores * t.DeclaredRunTime.Seconds()
+	}
+	return sum
 }
 
 // firstTimeout returns when the job's timer first fires.
--- a/internal/core/entry/pass.go
+++ b/internal/core/entry/pass.go
@@ -89,7 +89,11 @@
 	s.pass = c.newPass(now, name)
 	s.pass.lateCores = s.pass.freeCores - s.flow.Reserve(s.pass.totalCores-s.pass.freeCores)
 	c.placeQueued(now, s)
-	s.flow.Pass(now, s.pass.placedCores, s.inTimeWaiting())
+	waiting := s.inTimeWaiting()
+	s.flow.Pass(now, s.pass.placedCores, waiting)
+	if waiting {
+		s.shedder.Waiting(now)
+	}
 }
 
 // placeQueued dispatches queued tasks in order until one has to wait, and then those that
--- a/internal/core/entry/queue.go
+++ b/internal/core/entry/queue.go
@@ -8,6 +8,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/forecast"
 	"github.com/poplarlever/poplarlever/internal/core/limits"
+	"github.com/poplarlever/poplarlever/internal/core/shedding"
 	"github.com/poplarlever/poplarlever/internal/invariant"
 )
 
@@ -30,6 +31,8 @@
 	pass pass
 	// flow forecasts when the service will have room.
 	flow forecast.Flow
+	// shedder chooses the jobs that give way; it is used only with Config.ShedByJobType.
+	shedder shedding.Shedder
 	// candidates is reused by every backfill.
 	candidates []queuedJob
 }
@@ -209,6 +212,19 @@
 	return sum
 }
 
+// coresInTime returns the cores of the queued tasks whose jobs are in time.
+func (s *serviceQueue) coresInTime() float64 {
+	sum := 0.0
+	for _, a := range s.accounts {
+		for _, o := range a.jobs {
+			if !o.late && !o.confined {
+				sum += o.queuedCores()
+			}
+		}
+	}
+	return sum
+}
+
 // queuedCores returns the cores of the job's queued tasks.
 func (j *job) queuedCores() float64 {
 	sum := 0.0
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -57,6 +57,9 @@
 	// TooManyRequests means that the connection or the entry has too many
 	// requests in progress.
 	TooManyRequests
+	// Shed means that the service is full and the job gives way to others: its type sends more
+	// than usual, or is less urgent.
+	Shed
 
 	// Failures; the answer carries the verdict.
 	DeadlineExceeded
@@ -91,7 +94,7 @@
 	"unauthenticated", "no_tasks", "too_many_tasks", "payload_too_large",
 	"deadline_passed", "duplicate_job", "key_conflict",
 	"no_table", "no_workers", "never_runnable", "queue_full",
-	"would_miss_deadline", "over_quota", "draining", "too_many_requests",
+	"would_miss_deadline", "over_quota", "draining", "too_many_requests", "shed",
 	"deadline_exceeded", "key_unavailable", "cancelled", "endpoint_error", "endpoint_failed",
 	"worker_lost", "retries_exhausted", "stopped",
 	"result_dropped", "entry_paused", "worker_crashed",
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -54,6 +54,7 @@
 		{"timing.idle_heartbeat", "Longest silence of this entry towards any other agent; not shorter than heartbeat_interval. A worker without tasks that falls silent is noticed later by two of them, or after suspect_after once it gets a task.", &s.Timing.IdleHeartbeat, atLeast(&s.Timing.IdleHeartbeat, &s.Timing.HeartbeatInterval, "timing.heartbeat_interval"), ""},
 		{"timing.ack_delay", "How long an acknowledgement waits for other traffic.", &s.Timing.AckDelay, durationBetween(&s.Timing.AckDelay, 0, 10*time.Second), ""},
 		{"timing.run_limit", "Longest time that an endpoint may take for one task.", &s.Timing.RunLimit, durationBetween(&s.Timing.RunLimit, minDuration, 24*time.Hour), ""},
+		{"admission.shed_by_job_type", "true lets jobs give way on arrival while their service is full: those of types that send more than usual, and of less urgent types. For services whose callers compete.", &s.Admission.ShedByJobType, func() error { return nil }, ""},
 		{"placement.learn_speeds", "true learns how fast the workers are and how run times compare with the declared ones, and places, stops and judges by it. For services whose workers differ in speed for good.", &s.Placement.LearnSpeeds, func() error { return nil }, ""},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,9 +36,10 @@
 	Log            Log         `toml:"log"`
 	Limits         EntryLimits `toml:"limits"`
 	// InsecureNetwork allows addresses beyond loopback without TLS and tokens.
-	InsecureNetwork bool          `toml:"insecure_network"`
-	Platform        EntryPlatform `toml:"platform"`
-	Timing          EntryTiming   `toml:"timing"`
+	InsecureNetwork bool           `toml:"insecure_network"`
+	Platform        EntryPlatform  `toml:"platform"`
+	Timing          EntryTiming    `toml:"timing"`
+	Admission       EntryAdmission `toml:"admission"`
 	// Placement chooses how tasks are placed.
 	Placement EntryPlacement `toml:"placement"`
 	// Source records where each value came from, for errors after loading.
@@ -118,6 +119,13 @@
 	Memory Bytes `toml:"memory"`
 }
 
+// EntryAdmission holds the settings of which jobs an entry refuses while a service is full.
+type EntryAdmission struct {
+	// ShedByJobType lets jobs of types that send more than usual, and of less urgent types,
+	// give way on arrival.
+	ShedByJobType bool `toml:"shed_by_job_type"`
+}
+
 // EntryPlacement holds the settings of how an entry places tasks.
 type EntryPlacement struct {
 	// LearnSpeeds lets the entry learn run times and workers' speeds and decide by them.
