--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -47,8 +47,13 @@
 	// excessLevel and usualLevel are the backlogs, as fractions of the time that the most urgent
 	// type can wait, from which excess and usual jobs of the least urgent type give way. Those of
 	// other types are spread between that and 1.
-	excessLevel = 0.25
-	usualLevel  = 0.5
+	excessLevel = 0.1
+	usualLevel  = 0.4
+	// backlogHorizon is the time over which the backlog is averaged. A task may hold its cores
+	// for a second, so a moment without backlog is no reason to admit all of a burst.
+	backlogHorizon = 500 * time.Millisecond
+	// maxBacklog bounds what a moment without any room adds to the mean.
+	maxBacklog = time.Second
 	// settle is how long after the last wait a service still counts as full. The backlog comes
 	// and goes while jobs are shed.
 	settle = time.Second
@@ -76,6 +81,9 @@
 	// shortestAt.
 	shortest   float64
 	shortestAt time.Time
+	// backlog is the mean backlog, in seconds, as of backlogAt.
+	backlog   float64
+	backlogAt time.Time
 	// waitedAt is when jobs last waited for room.
 	waitedAt time.Time
 	// shed counts the jobs that gave way.
@@ -127,13 +135,21 @@
 	}
 	t := s.jobType(now, j)
 	usual, protected := t.arrived(now, j, now.Sub(s.waitedAt) < settle)
-	if backlog <= 0 || protected || usual && t.priority == s.order[0] || backlog.Seconds() < s.limit(t, usual)*s.shortestWait(now) {
+	s.average(now, backlog)
+	if protected || usual && t.priority == s.order[0] || s.backlog < s.limit(t, usual)*s.shortestWait(now) {
 		return true
 	}
 	s.shed++
 	return false
 }
 
+// average adds the present backlog to the mean one.
+func (s *Shedder) average(now time.Time, backlog time.Duration) {
+	keep := math.Exp(-max(0, now.Sub(s.backlogAt).Seconds()) / backlogHorizon.Seconds())
+	s.backlog = keep*s.backlog + (1-keep)*min(backlog, maxBacklog).Seconds()
+	s.backlogAt = now
+}
+
 // limit returns the backlog from which a job of the type gives way, as a fraction of the time
 // that the most urgent type can wait.
 func (s *Shedder) limit(t *jobType, usual bool) float64 {
