--- a/internal/command/contracts.go
+++ b/internal/command/contracts.go
@@ -28,6 +28,10 @@
 		if f.Evacuations {
 			enabled["evacuations"] = &s.Evacuations
 		}
+		if f.WorkerHealth {
+			enabled["placement.learn_speeds"] = &s.Placement.LearnSpeeds
+			enabled["admission.shed_by_job_type"] = &s.Admission.ShedByJobType
+		}
 		return enabled
 	}
 }
@@ -38,6 +42,9 @@
 		if f.Evacuations {
 			enabled["evacuations"] = &s.Evacuations
 		}
+		if f.WorkerHealth {
+			enabled["detect_stalls"] = &s.DetectStalls
+		}
 		return enabled
 	}
 }
--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -79,13 +79,14 @@
 		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration,
 		AckDelay:      s.Timing.AckDelay.Duration, RunLimit: s.Timing.RunLimit.Duration,
 		MaxQueued: s.Limits.MaxQueued, MaxTasks: s.Limits.MaxTasks, MaxPayload: s.Limits.MaxPayload.N,
+		LearnSpeeds: s.Placement.LearnSpeeds, ShedByJobType: s.Admission.ShedByJobType,
 	}
 }
 
 func agentConfig(s settings.Agent, incarnation msg.Incarnation, clockEpoch epoch) agent.Config {
 	return agent.Config{
 		Worker: s.Worker, FailureDomain: s.FailureDomain, Incarnation: incarnation, Epoch: time.Time(clockEpoch),
-		ReleaseAfter: lease.ReleaseAfter(lease.Config{}),
+		ReleaseAfter: lease.ReleaseAfter(lease.Config{}), DetectStalls: s.DetectStalls,
 		ResultKeep:   s.Timing.ResultKeep.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
 		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration, EntrySilence: s.Timing.EntrySilence.Duration,
 		Evacuations: s.Evacuations,
--- a/internal/core/agent/io.go
+++ b/internal/core/agent/io.go
@@ -159,6 +159,13 @@
 // TaskEnded follows.
 type StopTask struct{ Attempt msg.AttemptID }
 
+// WorkerStalled reports that the tasks of the leased worker make no progress, with the
+// number of attempts that run there, or that they make progress again.
+type WorkerStalled struct {
+	Stalled  bool
+	Attempts int
+}
+
 // CloseLink asks the driver to close the link to an entry incarnation.
 type CloseLink struct{ Entry msg.Incarnation }
 
@@ -189,3 +196,4 @@
 func (EntryConflict) output()      {}
 func (EvacuationChanged) output()  {}
 func (EvacuationRejected) output() {}
+func (WorkerStalled) output()      {}
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -60,6 +60,9 @@
 	// AllEvacuated means that every worker of the service that is linked is in an evacuated
 	// failure domain.
 	AllEvacuated
+	// Shed means that the service is full and the job gives way to others: its type sends more
+	// than usual, or is less urgent.
+	Shed
 
 	// Failures; the answer carries the verdict.
 	DeadlineExceeded
@@ -95,7 +98,7 @@
 	"deadline_passed", "duplicate_job", "key_conflict",
 	"no_table", "no_workers", "never_runnable", "queue_full",
 	"would_miss_deadline", "over_quota", "draining", "too_many_requests",
-	"all_evacuated",
+	"all_evacuated", "shed",
 	"deadline_exceeded", "key_unavailable", "cancelled", "endpoint_error", "endpoint_failed",
 	"worker_lost", "retries_exhausted", "stopped",
 	"result_dropped", "entry_paused", "worker_crashed",
@@ -156,6 +159,9 @@
 	Crash
 	// Evacuated means that the worker's failure domain is evacuated.
 	Evacuated
+	// WorkerStalled means that the worker's tasks make no progress, so that it takes none but
+	// trial tasks.
+	WorkerStalled
 
 	retryReasonEnd
 )
@@ -164,7 +170,7 @@
 	"unspecified", "no_slot", "start_by_passed", "worker_leaving",
 	"wrong_incarnation", "wrong_service", "attempt_revoked", "not_reached",
 	"never_started", "task_present", "stale_run", "aborted", "endpoint_failure",
-	"crash", "evacuated",
+	"crash", "evacuated", "worker_stalled",
 }
 
 // String returns the name used on the wire, in logs and in metrics.
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -26,6 +26,8 @@
 	EvacuatedDomains int
 	// MessageDelay is how late the entry reads the messages of its agents.
 	MessageDelay time.Duration
+	// LearnedWorkers is the number of workers whose speed is learned.
+	LearnedWorkers int
 }
 
 // Observe exports the gauges that read returns at each collection. Read returns
@@ -43,6 +45,7 @@
 		tableRejected:    func(g Gauges) int64 { return boolToInt64(g.TableRejected) },
 		evacuatedDomains: func(g Gauges) int64 { return int64(g.EvacuatedDomains) },
 		storeReachable:   func(g Gauges) int64 { return boolToInt64(g.StoreReachable) },
+		learnedWorkers:   func(g Gauges) int64 { return int64(g.LearnedWorkers) },
 	}
 	var instruments []metric.Observable
 	gauges := make(map[metric.Int64ObservableGauge]func(Gauges) int64)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -41,9 +41,11 @@
 	dispatched, started, ended        *labelledCounter
 	workerConflicts, entryConflicts   *labelledCounter
 	workerHealth                      *labelledCounter
+	runTimesDiscarded                 *labelledCounter
 	announceRefusals                  *labelledCounter
 	evacuationsRejected               *labelledCounter
 	workerCrashes, jobTypesConfined   *labelledCounter
+	workerStalls                      *labelledCounter
 	endedLate, pauses, cancels        *labelledCounter
 	sent, received                    messageCounters
 	answerTime                        metric.Float64Histogram
@@ -95,6 +97,8 @@
 	m.announceRefusals = m.newCounter(announceRefusals, "", "")
 	m.evacuationsRejected = m.newCounter(evacuationsRejected, "", "")
 	m.workerCrashes, m.jobTypesConfined = m.newCounter(workerCrashes, "", ""), m.newCounter(jobTypesConfined, "", "")
+	m.runTimesDiscarded = m.newCounter(runTimesDiscarded, "", "")
+	m.workerStalls = m.newCounter(workerStalls, "", "")
 	m.workerHealth = m.newCounter(workerHealth, "health")
 	for _, h := range verdict.WorkerHealths() {
 		m.workerHealth.add(h.String(), 0)
@@ -150,6 +154,9 @@
 // WorkerCrashed counts a crash of a leased worker while tasks ran there.
 func (m *Metrics) WorkerCrashed() { m.workerCrashes.add("", 1) }
 
+// WorkerStalled counts a stall of the leased worker.
+func (m *Metrics) WorkerStalled() { m.workerStalls.add("", 1) }
+
 // Values of the label of pauses.
 const (
 	pauseSuspended   = "suspended"
@@ -166,6 +173,9 @@
 	m.pauses.add(kind, 1)
 }
 
+// RunTimeDiscarded counts a reported run time that cannot be one.
+func (m *Metrics) RunTimeDiscarded() { m.runTimesDiscarded.add("", 1) }
+
 // JobTypeConfined counts a job type whose tasks are confined to a part of the workers.
 func (m *Metrics) JobTypeConfined() { m.jobTypesConfined.add("", 1) }
 
