--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -46,7 +46,8 @@
 		{"limits.max_queued", "Largest number of tasks that wait in this entry.", &s.Limits.MaxQueued, intBetween(&s.Limits.MaxQueued, 1, 10_000_000), ""},
 		{"limits.max_tasks", "Largest job, in tasks.", &s.Limits.MaxTasks, intBetween(&s.Limits.MaxTasks, 1, 1000), ""},
 		{"limits.max_payload", "Largest payload of one task.", &s.Limits.MaxPayload, bytesBetween(&s.Limits.MaxPayload, 1, 4<<20), ""},
-		{"limits.memory", "Memory that the process may use. It collects garbage less often while it uses less than half; 0B leaves that to the runtime.", &s.Limits.Memory, bytesBetween(&s.Limits.Memory, 0, 1<<38), ""},
+		{"limits.memory", "Memory that the process may use. It collects garbage less often while it uses less than half, and the bodies of requests and the connections that callers hold are bounded by a part of it; 0B leaves that to the runtime, and bounds bodies by 512MiB.", &s.Limits.Memory, bytesBetween(&s.Limits.Memory, 0, 1<<38), ""},
+		maxDescriptors(&s.Limits.MaxDescriptors),
 		{"timing.start_window", "How long after its dispatch a task may start at the agent.", &s.Timing.StartWindow, durationBetween(&s.Timing.StartWindow, minDuration, maxDuration), ""},
 		{"timing.suspect_after", "Silence after which a worker gets no new tasks; longer than heartbeat_interval.", &s.Timing.SuspectAfter, longerThan(&s.Timing.SuspectAfter, &s.Timing.HeartbeatInterval, "timing.heartbeat_interval"), ""},
 		{"timing.lost_after", "Silence after which a worker's tasks are given up; longer than suspect_after.", &s.Timing.LostAfter, longerThan(&s.Timing.LostAfter, &s.Timing.SuspectAfter, "timing.suspect_after"), ""},
@@ -80,6 +81,8 @@
 		tlsFile("key", "PEM file with the certificate's private key.", &s.TLS, &s.TLS.Key),
 		tlsFile("ca", "PEM file with the authority that signs the certificates of all processes.", &s.TLS, &s.TLS.CA),
 		logFormat(&s.Log), logLevel(&s.Log),
+		{"limits.memory", "Memory that the process may use; the bodies of announcements and the connections that peers hold are bounded by a part of it. 0B bounds bodies by 512MiB.", &s.Limits.Memory, bytesBetween(&s.Limits.Memory, 0, 1<<38), ""},
+		maxDescriptors(&s.Limits.MaxDescriptors),
 		{"timing.result_keep", "How long a result waits for its acknowledgement.", &s.Timing.ResultKeep, durationBetween(&s.Timing.ResultKeep, minDuration, 24*time.Hour), ""},
 		{"timing.entry_silence", "Silence of an entry after which its link is given up and dialled anew; several times the entries' heartbeat_interval.", &s.Timing.EntrySilence, durationBetween(&s.Timing.EntrySilence, minDuration, maxDuration), ""},
 		{"timing.heartbeat_interval", "Longest silence of this agent towards an entry that has tasks here.", &s.Timing.HeartbeatInterval, durationBetween(&s.Timing.HeartbeatInterval, minDuration, maxDuration), ""},
@@ -151,6 +154,10 @@
 	}, ""}
 }
 
+func maxDescriptors(n *int) Field {
+	return Field{"limits.max_descriptors", "Largest number of open descriptors; connections of peers are bounded by it, less those for files and for connections that the process opens. 0 takes the limit that the system sets for the process.", n, intBetween(n, 0, 1<<24), ""}
+}
+
 func logFormat(l *Log) Field {
 	return Field{"log.format", "\"json\" or \"console\".", &l.Format, oneOf(&l.Format, "json", "console"), ""}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,7 @@
 	InsecureNetwork bool          `toml:"insecure_network"`
 	Store           Store         `toml:"store"`
 	Platform        AgentPlatform `toml:"platform"`
+	Limits          AgentLimits   `toml:"limits"`
 	// Source records where each value came from, for errors after loading.
 	Source Source `toml:"-"`
 }
@@ -114,6 +115,15 @@
 	MaxPayload Bytes `toml:"max_payload"`
 	// Memory is the total memory that the process may use; zero means no limit.
 	Memory Bytes `toml:"memory"`
+	// MaxDescriptors is the largest number of open descriptors; zero means the limit of the
+	// process.
+	MaxDescriptors int `toml:"max_descriptors"`
+}
+
+// AgentLimits bounds what an agent uses. The fields are those of EntryLimits.
+type AgentLimits struct {
+	Memory         Bytes `toml:"memory"`
+	MaxDescriptors int   `toml:"max_descriptors"`
 }
 
 // EntryTiming holds an entry's timeouts and intervals.
