--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -34,6 +34,7 @@
 	LinesLost        = define(1006, "log_lines_lost", zap.WarnLevel, "log lines were dropped because the output was not read in time")
 	InvariantBroken  = define(1007, "invariant_broken", zap.ErrorLevel, "the program found one of its own invariants broken")
 	ProcessPaused    = define(1008, "process_paused", zap.WarnLevel, "the process stood still")
+	ClientsBounded   = define(1009, "clients_bounded", zap.WarnLevel, "requests or connections were refused, dropped or closed, since peers would make the process hold too much")
 	WorkerLinked     = define(2001, "worker_linked", zap.InfoLevel, "an agent opened a link")
 	WorkerUnlinked   = define(2002, "worker_unlinked", zap.WarnLevel, "the link to an agent ended")
 	LinkMalformed    = define(2003, "link_malformed", zap.WarnLevel, "a message on a link could not be decoded")
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -63,6 +63,10 @@
 	jobTypesConfined    = define("poplarlever_job_types_confined_total", Counter, "changes", "", "Job types confined to a part of the workers because their tasks crash workers.", Entry)
 	lostLines           = define("poplarlever_log_lines_lost_total", Counter, "lines", "", "Log lines that were lost because they were not read in time.", bothRoles)
 	pauses              = define("poplarlever_pauses_total", Counter, "pauses", "kind", "Times in which the process stood still: the VM was suspended, or the process got no processor time.", bothRoles)
+	clientsBounded      = define("poplarlever_clients_bounded_total", Counter, "requests", "reason", "Requests and connections that were refused, dropped or closed, since peers would make the process hold too much, by reason.", bothRoles)
+	requestBytes        = define("poplarlever_request_bytes", Gauge, "bytes", "", "Memory of the requests in progress: bodies as far as they have arrived, decoded forms and answers.", bothRoles)
+	peerConnections     = define("poplarlever_peer_connections", Gauge, "connections", "", "Open connections that callers, agents, entries, endpoints and probes have opened.", bothRoles)
+	openDescriptors     = define("poplarlever_open_descriptors", Gauge, "descriptors", "", "Open descriptors of the process.", bothRoles)
 	invariantViolations = define("poplarlever_invariant_violations_total", Counter, "violations", "name", "Broken invariants found by the program itself; always a fault of the program.", bothRoles)
 )
 
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/poplarlever/poplarlever/internal/core/bodybudget"
 )
 
 // Gauges holds the values of a process's gauges at one moment.
@@ -80,6 +83,44 @@
 	return err
 }
 
+// Bounds tells what the peers of a process make it hold.
+type Bounds interface {
+	HeldBytes() int64
+	Connections() int64
+	Count(bodybudget.Reason) uint64
+}
+
+// ObserveBounds exports what the peers of the process make it hold, and how often that was
+// bounded.
+func (m *Metrics) ObserveBounds(b Bounds) error {
+	for d, value := range map[Definition]func() int64{
+		requestBytes: b.HeldBytes, peerConnections: b.Connections, openDescriptors: countDescriptors,
+	} {
+		_, err := m.meter.Int64ObservableGauge(d.Name, metric.WithDescription(d.Help),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(value())
+				return nil
+			}))
+		if err != nil {
+			return err
+		}
+	}
+	_, err := m.meter.Int64ObservableCounter(clientsBounded.Name, metric.WithDescription(clientsBounded.Help),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for _, r := range bodybudget.Reasons() {
+				o.Observe(int64(b.Count(r)), metric.WithAttributes(attribute.String("reason", r.String())))
+			}
+			return nil
+		}))
+	return err
+}
+
+// countDescriptors returns the number of open descriptors, or zero if the system does not tell.
+func countDescriptors() int64 {
+	entries, _ := os.ReadDir("/proc/self/fd")
+	return int64(len(entries))
+}
+
 // ObserveLostLines exports the number of log lines that were lost.
 func (m *Metrics) ObserveLostLines(count func() uint64) error {
 	_, err := m.meter.Int64ObservableCounter(lostLines.Name, metric.WithDescription(lostLines.Help),
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
+	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/telemetry"
 	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
 )
@@ -30,6 +31,7 @@
 	}), qt.IsNil)
 	c.Assert(m.ObserveInvariants(func() map[string]int64 { return map[string]int64{"one_start": 0} }), qt.IsNil)
 	c.Assert(m.ObserveLostLines(func() uint64 { return 0 }), qt.IsNil)
+	c.Assert(m.ObserveBounds(httpserver.NewGuard(httpserver.Resources{})), qt.IsNil)
 	return m
 }
 
