Bound what callers, agents and entries make an entry hold

Cause: 256 MiB of bodies were allowed whatever the machine has, a request of 4 MiB of empty tasks took 230 MiB, messages of Link, Peer and Operator had no limit, and the time limit of a body also ended one that made progress.

Change: the native interface reads bodies within the budget of the process. Messages are not decoded if their elements would take many times their size. Answers count until they are written. Link, Peer and Operator bound their messages, and agents send frames of 1 MiB at most, unless one message is larger. Settings give the memory and the descriptors to both roles; agents set the runtime's memory limit to a half.

Existing tests: FuzzSubmitJSON names the field of its codec, which has a second one now.

--- a/internal/agentd/daemon.go
+++ b/internal/agentd/daemon.go
@@ -20,6 +20,9 @@
 // maxConnections bounds the connections to one endpoint.
 const maxConnections = 64
 
+// maxScrapes is the largest number of requests for metrics in progress.
+const maxScrapes = 4
+
 // Daemon is the agent process of one worker: it connects the agent core to the
 // endpoint, the entries and the store.
 type Daemon struct {
@@ -69,7 +72,7 @@
 	server.Handle("POST /v1/leave", http.HandlerFunc(d.tracker.handleLeave))
 	if m := d.opts.metrics; m != nil {
 		d.metricsErr = m.Observe(d.gauges)
-		server.Handle("GET /metrics", m.Handler())
+		server.Handle("GET /metrics", httpserver.BoundConcurrency(m.Handler(), maxScrapes))
 	}
 	return d
 }
@@ -96,6 +99,7 @@
 	defer stopAll()
 	go d.loop.run(runCtx)
 	go d.watchEndpoint(runCtx)
+	go logevent.RunGuard(runCtx, d.log, d.server.Guard())
 	go d.maintainLinks(runCtx)
 	if d.record != nil {
 		go d.record.run(runCtx)
--- a/internal/agentd/endpoint_tracker.go
+++ b/internal/agentd/endpoint_tracker.go
@@ -1,6 +1,7 @@
 package agentd
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -11,7 +12,9 @@
 	"go.uber.org/zap"
 
 	"github.com/poplarlever/poplarlever/internal/core/agent"
+	"github.com/poplarlever/poplarlever/internal/core/bodybudget"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/logevent"
 )
 
@@ -42,7 +45,19 @@
 }
 
 func (t *endpointTracker) handleAnnounce(w http.ResponseWriter, r *http.Request) {
-	in, err := readAnnouncement(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	var in Announcement
+	body, err := httpserver.OpenBody(w, r, maxAnnouncementBytes, 1)
+	defer body.Close()
+	if err == nil {
+		err = body.ReadAll(func(content []byte) error {
+			in, err = readAnnouncement(bytes.NewReader(content))
+			return err
+		})
+	}
+	if refuseBody(w, r, body) {
+		t.loop.announcementRefused(err)
+		return
+	}
 	if err != nil {
 		t.loop.announcementRefused(err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -60,6 +75,22 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// refuseBody answers a request whose body was not taken and closes its connection. It returns
+// false if the body was taken.
+func refuseBody(w http.ResponseWriter, r *http.Request, body *httpserver.Body) bool {
+	reason := body.Reason()
+	if reason == 0 {
+		return false
+	}
+	httpserver.CloseAfter(w, r)
+	if reason == bodybudget.TooLarge {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	} else {
+		httpserver.Unavailable(w)
+	}
+	return true
+}
+
 // Departure is the optional body of POST /v1/leave. Join identifies the join that
 // ends, so that a late request does not end a newer one.
 type Departure struct {
@@ -68,9 +99,19 @@
 
 func (t *endpointTracker) handleLeave(w http.ResponseWriter, r *http.Request) {
 	var in Departure
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxLeaveBytes))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&in); err != nil && !errors.Is(err, io.EOF) {
+	body, err := httpserver.OpenBody(w, r, maxLeaveBytes, 1)
+	defer body.Close()
+	if err == nil {
+		err = body.ReadAll(func(content []byte) error {
+			decoder := json.NewDecoder(bytes.NewReader(content))
+			decoder.DisallowUnknownFields()
+			return decoder.Decode(&in)
+		})
+	}
+	if refuseBody(w, r, body) {
+		return
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
 		http.Error(w, "malformed departure: "+err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/poplarlever/poplarlever/internal/core/agent"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
@@ -270,14 +271,34 @@
 		case <-ctx.Done():
 			return
 		}
-		if messages := box.Take(); len(messages) > 0 {
-			if k.send(stream, messages) != nil {
+		for messages := box.Take(); len(messages) > 0; {
+			n := frameLength(messages)
+			if k.send(stream, messages[:n]) != nil {
 				return
 			}
+			messages = messages[n:]
 		}
 	}
 }
 
+// maxFrameBytes is the size above which the messages that wait go into more than one frame. An
+// entry refuses frames of several times this size.
+const maxFrameBytes = 1 << 20
+
+// frameLength returns how many of the messages go into the next frame: at least one.
+func frameLength(messages []*pb.AgentMessage) int {
+	if len(messages) == 1 {
+		return 1
+	}
+	size := 0
+	for i, m := range messages {
+		if size += proto.Size(m); size > maxFrameBytes && i > 0 {
+			return i
+		}
+	}
+	return len(messages)
+}
+
 // send writes one frame. It takes the frame's timestamp from the agent's clock just
 // before the write, so that the entry's estimate of that clock is never ahead.
 func (k *linker) send(stream *linkStream, messages []*pb.AgentMessage) error {
--- a/internal/agentd/links_test.go
+++ b/internal/agentd/links_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/poplarlever/poplarlever/internal/core/agent"
+	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
 )
 
 // Guards against an endpoint that announces itself while Hello is in flight and stays
@@ -38,3 +39,24 @@
 	c.Check(priority.redialPause(time.Minute).low >= 50*time.Millisecond, qt.IsTrue)
 	c.Check(deferred.redialPause(0), qt.Equals, deferred.redialPause(time.Minute))
 }
+
+// Guards against a frame that an entry refuses because of its size: many results that wait for
+// an entry are larger than what it reads at once.
+func TestLargeResultsGoIntoSeveralFrames(t *testing.T) {
+	c := qt.New(t)
+	message := func(size int) *pb.AgentMessage {
+		return &pb.AgentMessage{Message: &pb.AgentMessage_Result{Result: &pb.Result{Payload: make([]byte, size)}}}
+	}
+	small, large := message(100), message(maxResultBytes)
+	for _, test := range []struct {
+		messages []*pb.AgentMessage
+		want     int
+	}{
+		{[]*pb.AgentMessage{small, small, small}, 3},
+		{[]*pb.AgentMessage{large, small}, 1},
+		{[]*pb.AgentMessage{small, large, large}, 1},
+		{[]*pb.AgentMessage{large}, 1},
+	} {
+		c.Check(frameLength(test.messages), qt.Equals, test.want)
+	}
+}
--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -32,6 +32,7 @@
 				return err
 			}
 			defer func() { _ = log.Sync() }()
+			limitAgentMemory(s.Limits.Memory.N)
 			a, err := buildAgent(s, log)
 			if err != nil {
 				return err
--- a/internal/command/memory.go
+++ b/internal/command/memory.go
@@ -16,3 +16,11 @@
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(limit / 2))
 }
+
+// limitAgentMemory makes the runtime collect garbage early enough to stay within half of limit,
+// in bytes. Zero keeps the runtime's defaults.
+func limitAgentMemory(limit int) {
+	if limit != 0 {
+		debug.SetMemoryLimit(int64(limit / 2))
+	}
+}
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -41,12 +41,16 @@
 
 // attachPlatform opens the configured addresses for the clients and the load
 // balancer of the users' platform.
-func attachPlatform(d *entryd.Daemon, s settings.Entry) error {
+func attachPlatform(d *entryd.Daemon, s settings.Entry, g *httpserver.Guard) error {
 	for key, address := range map[string]string{"platform.callers": s.Platform.Callers, "platform.readiness": s.Platform.Readiness} {
 		if address == "" {
 			continue
 		}
-		server, err := httpserver.Listen(address)
+		use := httpserver.Probes
+		if key == "platform.callers" {
+			use = httpserver.Callers
+		}
+		server, err := httpserver.Listen(address, httpserver.WithGuard(g, use))
 		if err != nil {
 			return s.Source.Fault(key, err)
 		}
--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -54,17 +54,17 @@
 func agentTLS(s settings.Agent) (tlsconfig.Config, error) { return tlsconfig.Load(s.TLS, s.Source) }
 
 func entryServer(s settings.Entry, t tlsconfig.Config) (*httpserver.Server, error) {
-	return listen(s.Listen, t, s.Source)
+	return listen(s.Listen, t, s.Source, newGuard(s.Limits.Memory.N, s.Limits.MaxDescriptors))
 }
 
 func agentServer(s settings.Agent, t tlsconfig.Config) (*httpserver.Server, error) {
-	return listen(s.Listen, t, s.Source)
+	return listen(s.Listen, t, s.Source, newGuard(s.Limits.Memory.N, s.Limits.MaxDescriptors))
 }
 
 // listen opens the address. When that fails, as with a port in use, the error
 // names the listen setting.
-func listen(address string, t tlsconfig.Config, source settings.Source) (*httpserver.Server, error) {
-	server, err := httpserver.ListenTLS(address, t.Server)
+func listen(address string, t tlsconfig.Config, source settings.Source, g *httpserver.Guard) (*httpserver.Server, error) {
+	server, err := httpserver.ListenTLS(address, t.Server, httpserver.WithGuard(g, httpserver.Control))
 	if err != nil {
 		return nil, source.Fault("listen", err)
 	}
@@ -108,6 +108,9 @@
 
 func entryDaemon(s settings.Entry, core *entry.Core, incarnation msg.Incarnation, server *httpserver.Server, t tlsconfig.Config, m *telemetry.Metrics, log *zap.Logger) (*entryd.Daemon, error) {
 	logInvariants(log)
+	if err := m.ObserveBounds(server.Guard()); err != nil {
+		return nil, err
+	}
 	options := []entryd.Option{
 		entryd.WithFailureDomain(s.FailureDomain), entryd.WithReadyDelay(s.ReadyDelay.Duration),
 		entryd.WithMetrics(m), entryd.WithAdvertise(s.Advertise), entryd.WithClientTLS(t.Client),
@@ -125,11 +128,14 @@
 		store: storeClient(s.Store), peers: s.Peers, advertise: s.Advertise, failureDomain: s.FailureDomain,
 		tls: t.Client,
 	}, log)
-	return d, attachPlatform(d, s)
+	return d, attachPlatform(d, s, server.Guard())
 }
 
-func agentDaemon(s settings.Agent, core *agent.Core, clockEpoch epoch, server *httpserver.Server, t tlsconfig.Config, m *telemetry.Metrics, log *zap.Logger) *agentd.Daemon {
+func agentDaemon(s settings.Agent, core *agent.Core, clockEpoch epoch, server *httpserver.Server, t tlsconfig.Config, m *telemetry.Metrics, log *zap.Logger) (*agentd.Daemon, error) {
 	logInvariants(log)
+	if err := m.ObserveBounds(server.Guard()); err != nil {
+		return nil, err
+	}
 	options := []agentd.Option{
 		agentd.WithLinks(s.Links), agentd.WithFailureDomain(s.FailureDomain), agentd.WithReadyDelay(s.ReadyDelay.Duration), agentd.WithMetrics(m), agentd.WithClientTLS(t.Client),
 	}
@@ -137,10 +143,10 @@
 		options = append(options, agentd.WithDirectory(agentd.StoreDirectory(client, entryd.EntriesPrefix)), agentd.WithWorkerRecord(client, s.Platform.Service))
 	}
 	if s.Platform.Service == "" {
-		return agentd.New(core, s.Worker, time.Time(clockEpoch), s.Entries, server, log, options...)
+		return agentd.New(core, s.Worker, time.Time(clockEpoch), s.Entries, server, log, options...), nil
 	}
 	worker := platform.NewWorker()
 	d := agentd.New(core, s.Worker, time.Time(clockEpoch), s.Entries, server, log, append(options, agentd.WithLeasedWorker(worker))...)
 	platform.NewAnnouncements(d, s.Platform.Service).Register(server.Handle)
-	return d
+	return d, nil
 }
--- a/internal/command/wire_gen.go
+++ b/internal/command/wire_gen.go
@@ -61,7 +61,10 @@
 	if err != nil {
 		return nil, err
 	}
-	daemon := agentDaemon(s, core, commandEpoch, server, tlsconfigConfig, metrics, log)
+	daemon, err := agentDaemon(s, core, commandEpoch, server, tlsconfigConfig, metrics, log)
+	if err != nil {
+		return nil, err
+	}
 	commandAgentWithServer := &agentWithServer{
 		Daemon: daemon,
 		server: server,
--- a/internal/entryd/admission.go
+++ b/internal/entryd/admission.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
+	"github.com/poplarlever/poplarlever/internal/core/bodybudget"
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
@@ -33,8 +34,15 @@
 
 // ServeHTTP implements http.Handler.
 func (g *admissionHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength > g.limits.MaxBody {
-		g.reject(w, r, connect.CodeResourceExhausted, g.payloadTooLarge())
+	bounded, err := httpserver.OpenBody(w, r, g.limits.MaxBody, bufferFactor)
+	defer bounded.Close()
+	if err != nil {
+		httpserver.CloseAfter(w, r)
+		a := tooManyRequests()
+		if bounded.Reason() == bodybudget.TooLarge {
+			a = g.payloadTooLarge()
+		}
+		g.reject(w, r, connect.CodeResourceExhausted, a)
 		return
 	}
 	connection := httpserver.ConnectionOf(r.Context())
@@ -45,17 +53,21 @@
 		g.reject(w, r, connect.CodeResourceExhausted, tooManyRequests())
 		return
 	}
-	g.serve(w, r)
+	g.serve(w, r, bounded)
 }
 
+// bufferFactor is the memory of each byte of a body: the Connect library reads it into a buffer
+// that doubles.
+const bufferFactor = 2
+
 // serve calls the service. If the Connect library answers without calling it, an error
 // that has a verdict replaces that answer.
-func (g *admissionHandler) serve(w http.ResponseWriter, r *http.Request) {
-	c := &responseWriter{ResponseWriter: w, controller: http.NewResponseController(w), writeTimeout: g.limits.WriteTimeout}
-	_ = c.controller.SetReadDeadline(time.Now().Add(g.limits.BodyTimeout))
+func (g *admissionHandler) serve(w http.ResponseWriter, r *http.Request, bounded *httpserver.Body) {
+	c := &responseWriter{ResponseWriter: w, controller: http.NewResponseController(w), writeTimeout: g.limits.WriteTimeout, body: bounded}
+	body := &limitedBody{Body: bounded, writer: c, admission: g}
+	body.extendDeadline(time.Now())
 	_ = c.controller.SetWriteDeadline(time.Time{})
 	r = r.WithContext(withResponseWriter(r.Context(), c))
-	body := &limitedBody{ReadCloser: http.MaxBytesReader(w, r.Body, g.limits.MaxBody), writer: c, admission: g}
 	defer body.release()
 	if compressed(r) {
 		// A small body may expand to a message of the largest size.
@@ -69,6 +81,9 @@
 	clear(w.Header())
 	_ = c.controller.SetWriteDeadline(time.Now().Add(g.limits.WriteTimeout))
 	code, message := c.rejection()
+	if !body.ended {
+		httpserver.CloseAfter(w, r)
+	}
 	if c.bodiesExceeded {
 		g.reject(w, r, connect.CodeResourceExhausted, tooManyRequests())
 		return
--- a/internal/entryd/build.go
+++ b/internal/entryd/build.go
@@ -22,7 +22,7 @@
 func (d *Daemon) newDispatchHandler(o options, jobs *runner) *admissionHandler {
 	service := &dispatchService{runner: jobs, keyed: d.keyed, auth: o.authenticator, counts: &d.counts, cancel: d.cancelJob}
 	_, handler := poplarleverv1connect.NewDispatchHandler(service,
-		connect.WithReadMaxBytes(int(o.limits.MaxBody)), strictCodecs())
+		connect.WithReadMaxBytes(int(o.limits.MaxBody)), strictCodecs(d.server.Guard()))
 	return newAdmissionHandler(handler, o.limits, &d.counts, d.log)
 }
 
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -69,11 +69,13 @@
 	d.admission = d.newDispatchHandler(o, jobs)
 	server.Handle(dispatchPath, d.admission)
 	d.links = &linkService{loop: d.loop, log: log, owners: newWorkerOwners()}
-	server.Handle(poplarleverv1connect.NewLinkHandler(d.links, withoutCompression))
-	server.Handle(poplarleverv1connect.NewOperatorHandler(&operatorService{daemon: d}))
+	linkPath, linkHandler := poplarleverv1connect.NewLinkHandler(d.links, withoutCompression, fromProcesses(server))
+	server.HandleInternal(linkPath, httpserver.BoundStreams(linkHandler, server.Guard().MaxFrame()))
+	operatorPath, operatorHandler := poplarleverv1connect.NewOperatorHandler(&operatorService{daemon: d}, fromProcesses(server))
+	server.HandleInternal(operatorPath, httpserver.BoundMessages(operatorHandler, server.Guard().MaxFrame()))
 	if m := o.metrics; m != nil {
 		d.metricsErr = m.Observe(d.readGauges)
-		server.Handle("GET /metrics", m.Handler())
+		server.Handle("GET /metrics", httpserver.BoundConcurrency(m.Handler(), maxScrapes))
 	}
 	return d
 }
@@ -107,6 +109,7 @@
 	defer stopLoop()
 	go d.loop.run(loopCtx)
 	go d.expireKeys(loopCtx)
+	go logevent.RunGuard(loopCtx, d.log, d.server.Guard())
 	var duplicate error
 	serveErr := make(chan error, 1+len(d.adapterServers))
 	go func() { serveErr <- d.server.Serve() }()
@@ -141,6 +144,9 @@
 	return drainErr
 }
 
+// maxScrapes is the largest number of requests for metrics in progress.
+const maxScrapes = 4
+
 // expireInterval is how often expired keys and answers are dropped.
 const expireInterval = time.Second
 
--- a/internal/entryd/dispatch.go
+++ b/internal/entryd/dispatch.go
@@ -106,6 +106,15 @@
 }
 
 func (s *dispatchService) submit(ctx context.Context, header http.Header, req *pb.SubmitRequest, report func(entry.Progress) error) *pb.SubmitResponse {
+	if !jobDecoded(ctx, req) {
+		return s.countAndEncode(req.GetJobId(), tooManyRequests())
+	}
+	answer := s.submitDecoded(ctx, header, req, report)
+	countAnswer(ctx, answer)
+	return answer
+}
+
+func (s *dispatchService) submitDecoded(ctx context.Context, header http.Header, req *pb.SubmitRequest, report func(entry.Progress) error) *pb.SubmitResponse {
 	if !s.auth.Authenticate(req.GetAccount(), bearerToken(header)) {
 		return s.countAndEncode(req.GetJobId(), unauthenticated())
 	}
--- a/internal/entryd/fuzz_test.go
+++ b/internal/entryd/fuzz_test.go
@@ -1,9 +1,16 @@
 package entryd
 
 import (
+	"bytes"
+	"runtime/metrics"
+	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
 )
 
@@ -17,9 +24,15 @@
 	} {
 		f.Add([]byte(text))
 	}
+	for _, task := range []string{"{}", "null", `{"payload":""}`, `{"declaredSize":{}}`, "[]"} {
+		f.Add([]byte(`{"tasks":[` + strings.TrimSuffix(strings.Repeat(task+",", (4<<20-20)/(len(task)+1)), ",") + `]}`))
+	}
+	f.Add([]byte(`{"service":"` + strings.Repeat("\\u0000", 600_000) + `"}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		var req pb.SubmitRequest
-		if (strictJSON{"json"}).Unmarshal(text, &req) != nil {
+		var err error
+		checkAllocated(t, len(text), func() { err = (strictJSON{name: "json"}).Unmarshal(text, &req) })
+		if err != nil {
 			return
 		}
 		now := time.Unix(1_700_000_000, 0)
@@ -37,3 +50,69 @@
 		}
 	})
 }
+
+// checkAllocated fails unless f, which decodes size bytes, allocates a bounded multiple of them.
+// Copies of lists that grow are counted too.
+func checkAllocated(t *testing.T, size int, f func()) {
+	sample := []metrics.Sample{{Name: "/gc/heap/allocs:bytes"}}
+	metrics.Read(sample)
+	before := sample[0].Value.Uint64()
+	f()
+	metrics.Read(sample)
+	if n := sample[0].Value.Uint64() - before; n > uint64(16*size+16<<20) {
+		t.Fatalf("%d bytes were allocated for %d", n, size)
+	}
+}
+
+// Guards against a binary request or frame on which the decoder panics, or that takes many times
+// its size: an empty element has two bytes.
+func FuzzBinaryMessages(f *testing.F) {
+	for _, tag := range []byte{5<<3 | 2, 2<<3 | 2, 1<<3 | 2} {
+		f.Add(bytes.Repeat([]byte{tag, 0}, 2<<20))
+		f.Add(bytes.Repeat([]byte{tag, 2, tag, 0}, 1<<20))
+		f.Add(bytes.Repeat([]byte{tag, 4, tag, 2, tag, 0}, 600<<10))
+	}
+	job, err := proto.Marshal(&pb.SubmitRequest{Service: "s", Tasks: []*pb.Task{{Payload: []byte("x")}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(job)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for _, m := range []proto.Message{&pb.SubmitRequest{}, &pb.CancelRequest{}, &pb.ExchangeRequest{}, &pb.AgentFrame{}} {
+			checkAllocated(t, 2*len(data), func() { _ = boundedProto{}.Unmarshal(data, m) })
+		}
+	})
+}
+
+// Guards against legal messages that are refused as too large when decoded: the largest job, and
+// frames of the smallest messages that agents send in numbers.
+func TestLegalMessagesAreDecoded(t *testing.T) {
+	job := &pb.SubmitRequest{Service: "s", JobType: "j", Account: "a"}
+	for range 1001 {
+		job.Tasks = append(job.Tasks, &pb.Task{Payload: []byte("x"), DeclaredSize: &pb.Size{Cores: 1}, DeclaredRunTime: durationpb.New(time.Second)})
+	}
+	frame := &pb.AgentFrame{ClockNs: 1}
+	for i := range 2000 {
+		id := &pb.AttemptID{EntryIncarnation: 1, Job: uint64(i), Task: 1, Attempt: 1}
+		frame.Messages = append(frame.Messages,
+			&pb.AgentMessage{Message: &pb.AgentMessage_Refused{Refused: &pb.Refused{Attempt: id}}},
+			&pb.AgentMessage{Message: &pb.AgentMessage_SlotsFree{SlotsFree: &pb.SlotsFree{Report: &pb.SlotReport{}}}},
+			&pb.AgentMessage{Message: &pb.AgentMessage_States{States: &pb.AttemptStates{Attempts: []*pb.AttemptStateItem{{Attempt: id}}}}})
+	}
+	for _, m := range []proto.Message{job, frame} {
+		data, err := proto.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := (boundedProto{}).Unmarshal(data, proto.Clone(m)); err != nil {
+			t.Error(err)
+		}
+	}
+	text, err := protojson.Marshal(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := (strictJSON{name: "json"}).Unmarshal(text, &pb.SubmitRequest{}); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/entryd/join.go
+++ b/internal/entryd/join.go
@@ -5,6 +5,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/proto/poplarlever/v1/poplarleverv1connect"
 )
 
@@ -22,7 +23,8 @@
 		d.loop.step(entry.SetPeers{Self: self, Peers: peers})
 	}
 	p.cancelHere = d.jobs.cancelNamed
-	d.server.Handle(poplarleverv1connect.NewPeerHandler(p))
+	path, handler := poplarleverv1connect.NewPeerHandler(p, fromProcesses(d.server))
+	d.server.HandleInternal(path, httpserver.BoundMessages(handler, d.server.Guard().MaxFrame()))
 }
 
 // SetSeeds replaces the addresses of entries to ask when the store is down. It needs a
--- a/internal/entryd/links.go
+++ b/internal/entryd/links.go
@@ -10,6 +10,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/linkpb"
 	"github.com/poplarlever/poplarlever/internal/logevent"
 	"github.com/poplarlever/poplarlever/internal/outbox"
@@ -64,6 +65,7 @@
 		logevent.LinkMalformed.Log(s.log, zap.Error(err))
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	httpserver.StreamOf(ctx).NextMessage()
 	if !s.owners.acquire(hello.Worker, hello.Incarnation, time.Now()) {
 		logevent.DuplicateWorker.Log(s.log, zap.String("worker", hello.Worker), zap.String("address", stream.Peer().Addr))
 		return stream.Send(&pb.EntryFrame{Messages: []*pb.EntryMessage{
@@ -110,11 +112,13 @@
 // receiveAll passes the agent's messages to the core until the stream ends.
 func (s *linkService) receiveAll(ctx context.Context, cancel context.CancelFunc, id entry.LinkID, stream *linkStream, touch func()) {
 	defer cancel()
+	bounds := httpserver.StreamOf(ctx)
 	for ctx.Err() == nil {
 		frame, err := stream.Receive()
 		if err != nil {
 			return
 		}
+		bounds.NextMessage()
 		touch()
 		for _, encoded := range frame.GetMessages() {
 			if s.loop.metrics != nil {
--- a/internal/entryd/options.go
+++ b/internal/entryd/options.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/bodybudget"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/telemetry"
 )
@@ -19,7 +20,7 @@
 	// InFlight and InFlightPerConnection bound the requests in progress.
 	InFlight              int64
 	InFlightPerConnection int32
-	// BodyTimeout bounds the time from a request's header to the end of its body.
+	// BodyTimeout bounds the time in which nothing of a request's body arrives.
 	BodyTimeout time.Duration
 	// WriteTimeout bounds the time that a caller may take to read one message.
 	WriteTimeout time.Duration
@@ -31,7 +32,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		MaxBody: 4 << 20, MaxBodies: 256 << 20, InFlight: 8192, InFlightPerConnection: 200,
-		BodyTimeout: 10 * time.Second, WriteTimeout: 30 * time.Second, JobTimeout: 60 * time.Second,
+		BodyTimeout: bodybudget.DefaultTimeout, WriteTimeout: 30 * time.Second, JobTimeout: 60 * time.Second,
 	}
 }
 
--- a/internal/entryd/responsewriter.go
+++ b/internal/entryd/responsewriter.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"connectrpc.com/connect"
+
+	"github.com/poplarlever/poplarlever/internal/httpserver"
+	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
 )
 
 // maxBufferedError is how much of a buffered error body is kept, in bytes.
@@ -24,8 +27,10 @@
 	bodyTooLarge   bool
 	// bodiesExceeded is set when the bodies of all requests exceeded the limit.
 	bodiesExceeded bool
-	status         int
-	buffered       bytes.Buffer
+	// body is the body of the request, which also counts the memory of its answer.
+	body     *httpserver.Body
+	status   int
+	buffered bytes.Buffer
 }
 
 type responseWriterKey struct{}
@@ -43,6 +48,39 @@
 	}
 }
 
+// jobDecoded counts the decoded form of a job in place of its body. It returns false if there is
+// no memory for it.
+func jobDecoded(ctx context.Context, req *pb.SubmitRequest) bool {
+	c, ok := ctx.Value(responseWriterKey{}).(*responseWriter)
+	if !ok {
+		return true
+	}
+	n := int64(0)
+	for _, t := range req.GetTasks() {
+		n += taskBytes + int64(len(t.GetPayload()))
+	}
+	return c.body.Decoded(n) == nil
+}
+
+// taskBytes is the memory of one task of a job in progress beside its payload, in bytes.
+const taskBytes = 512
+
+// countAnswer counts the memory of an answer until the request ends.
+func countAnswer(ctx context.Context, answer *pb.SubmitResponse) {
+	c, ok := ctx.Value(responseWriterKey{}).(*responseWriter)
+	if !ok {
+		return
+	}
+	n := int64(0)
+	for _, r := range answer.GetResults() {
+		n += int64(len(r.GetPayload()))
+	}
+	if n > 0 {
+		// The results and their encoded form.
+		c.body.Answer(2 * n)
+	}
+}
+
 // extendWriteDeadline gives the caller writeTimeout to read the next message.
 func extendWriteDeadline(ctx context.Context) {
 	if c, ok := ctx.Value(responseWriterKey{}).(*responseWriter); ok {
