--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -31,9 +31,10 @@
 	// process, and what the kernel holds unread.
 	connectionBytes = 16<<10 + receiveBuffer
 	// receiveBuffer is the size of the receive buffer of a connection that serves callers, in
-	// bytes. Left to itself the kernel holds several MiB of what a slow process has not read
-	// yet. On loopback, with segments of 64 KiB, 16 KiB make a body of 1 MiB take 7 s.
-	receiveBuffer = 64 << 10
+	// bytes; the kernel doubles it. Left to itself it holds several MiB of what a slow process
+	// has not read yet. On loopback, with segments of 64 KiB, 16 KiB make a body of 1 MiB take
+	// 7 s.
+	receiveBuffer = 48 << 10
 	// linkReceiveBuffer replaces receiveBuffer for connections of the system's own processes.
 	linkReceiveBuffer = 256 << 10
 
--- a/internal/processtest/hostile_test.go
+++ b/internal/processtest/hostile_test.go
@@ -465,7 +465,9 @@
 }
 
 // hostileAgentLimits are the limits in the agent's settings.
-const hostileAgentLimits = ""
+const hostileAgentLimits = `[limits]
+memory = "128MiB"
+`
 
 // Guards against a process whose connections use up its descriptors, so that it accepts no
 // others and cannot open files.
@@ -490,4 +492,4 @@
 }
 
 // hostileConnectionLimits are the limits in the entry's settings.
-const hostileConnectionLimits = hostileEntryLimits
+const hostileConnectionLimits = hostileEntryLimits + "max_descriptors = 600\n"
--- a/internal/processtest/soak_process_test.go
+++ b/internal/processtest/soak_process_test.go
@@ -237,7 +237,7 @@
 func (s *soak) writeEntrySettings(p *soakProcess) string {
 	return s.writeSettings("entry.tmpl", p.name, `advertise = "`+p.links.address+"\"\n", s.entryAddresses(), map[string]string{
 		"node": p.name, "zone": p.zone, "listen.control": p.address, "platform.address": s.store,
-		"listen.front": p.front, "listen.ready": p.ready, "limits.memoryMb": "128",
+		"listen.front": p.front, "listen.ready": p.ready, "limits.memoryMb": "128", "limits.maxFds": "3075",
 	})
 }
 
@@ -249,6 +249,7 @@
 		p := &soakProcess{s: s, name: fmt.Sprint("agent-", i), zone: s.zone(i), address: s.keptAddress()}
 		p.args = []string{"agent", "--settings", s.writeSettings("agent.tmpl", p.name, "", s.entryAddresses(), map[string]string{
 			"node": worker, "zone": p.zone, "listen.control": p.address, "platform.address": s.store, "service": soakService,
+			"limits.memoryMb": "128", "limits.maxFds": "4096",
 		})}
 		s.agents = append(s.agents, p)
 		p.launch()
