--- a/internal/core/bodybudget/bodybudget_test.go
+++ b/internal/core/bodybudget/bodybudget_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"math/rand/v2"
+	"os"
+	"regexp"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -149,6 +152,23 @@
 	}
 }
 
+// Guards against a reason that the glossary does not explain.
+func TestGlossaryListsEveryReason(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../../docs/GLOSSARY.md")
+	c.Assert(err, qt.IsNil)
+	_, section, found := strings.Cut(string(page), "## Why requests and connections of peers give way")
+	c.Assert(found, qt.IsTrue)
+	var listed, defined []string
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\|").FindAllStringSubmatch(section, -1) {
+		listed = append(listed, m[1])
+	}
+	for _, r := range Reasons() {
+		defined = append(defined, r.String())
+	}
+	c.Check(listed, qt.DeepEquals, defined)
+}
+
 // Guards against data races, and a budget that is not empty in the end.
 func TestConcurrentRequests(t *testing.T) {
 	c := qt.New(t)
