Let a body tell why it is not read instead of two results

staticcheck wants the error of OpenBody checked before Close is deferred, but the memory of a refused request has to be given back too. Reason and ReadAll tell the same.

--- a/internal/agentd/endpoint_tracker.go
+++ b/internal/agentd/endpoint_tracker.go
@@ -46,14 +46,12 @@
 
 func (t *endpointTracker) handleAnnounce(w http.ResponseWriter, r *http.Request) {
 	var in Announcement
-	body, err := httpserver.OpenBody(w, r, maxAnnouncementBytes, 1)
+	body := httpserver.OpenBody(w, r, maxAnnouncementBytes, 1)
 	defer body.Close()
-	if err == nil {
-		err = body.ReadAll(func(content []byte) error {
-			in, err = readAnnouncement(bytes.NewReader(content))
-			return err
-		})
-	}
+	err := body.ReadAll(func(content []byte) (err error) {
+		in, err = readAnnouncement(bytes.NewReader(content))
+		return err
+	})
 	if refuseBody(w, r, body) {
 		t.loop.announcementRefused(err)
 		return
@@ -99,15 +97,13 @@
 
 func (t *endpointTracker) handleLeave(w http.ResponseWriter, r *http.Request) {
 	var in Departure
-	body, err := httpserver.OpenBody(w, r, maxLeaveBytes, 1)
+	body := httpserver.OpenBody(w, r, maxLeaveBytes, 1)
 	defer body.Close()
-	if err == nil {
-		err = body.ReadAll(func(content []byte) error {
-			decoder := json.NewDecoder(bytes.NewReader(content))
-			decoder.DisallowUnknownFields()
-			return decoder.Decode(&in)
-		})
-	}
+	err := body.ReadAll(func(content []byte) error {
+		decoder := json.NewDecoder(bytes.NewReader(content))
+		decoder.DisallowUnknownFields()
+		return decoder.Decode(&in)
+	})
 	if refuseBody(w, r, body) {
 		return
 	}
--- a/internal/entryd/admission.go
+++ b/internal/entryd/admission.go
@@ -34,12 +34,12 @@
 
 // ServeHTTP implements http.Handler.
 func (g *admissionHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	bounded, err := httpserver.OpenBody(w, r, g.limits.MaxBody, bufferFactor)
+	bounded := httpserver.OpenBody(w, r, g.limits.MaxBody, bufferFactor)
 	defer bounded.Close()
-	if err != nil {
+	if reason := bounded.Reason(); reason != 0 {
 		httpserver.CloseAfter(w, r)
 		a := tooManyRequests()
-		if bounded.Reason() == bodybudget.TooLarge {
+		if reason == bodybudget.TooLarge {
 			a = g.payloadTooLarge()
 		}
 		g.reject(w, r, connect.CodeResourceExhausted, a)
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -40,10 +40,9 @@
 }
 
 // OpenBody starts to read a request's body of at most maxBytes, each byte of which takes factor
-// bytes of memory. The error is a bodybudget.Reason: TooLarge for a body that is announced to be
-// too large, of which nothing is read, or NoMemory. The caller closes the result, also after an
-// error, once the request is answered.
-func OpenBody(w http.ResponseWriter, r *http.Request, maxBytes, factor int64) (*Body, error) {
+// bytes of memory. Of a body that is announced to be too large, or that finds no memory, nothing
+// is read: Reason is not zero then. The caller closes the result once the request is answered.
+func OpenBody(w http.ResponseWriter, r *http.Request, maxBytes, factor int64) *Body {
 	connection := ConnectionOf(r.Context())
 	connection.bodyOpened.Store(true)
 	b := &Body{
@@ -51,14 +50,15 @@
 		length: r.ContentLength, max: maxBytes,
 	}
 	if r.ContentLength > maxBytes {
-		return b, b.fail(bodybudget.TooLarge)
+		_ = b.fail(bodybudget.TooLarge)
+		return b
 	}
 	if b.guard != nil {
 		if reason := b.guard.budget.Open(&b.memory, time.Now(), requestBytes, firstRead, factor); reason != 0 {
-			return b, b.fail(reason)
+			_ = b.fail(reason)
 		}
 	}
-	return b, nil
+	return b
 }
 
 // fail records and counts the reason for which the body is not read any further.
@@ -153,6 +153,9 @@
 // ReadAll reads the whole body and passes it to decode. Large bodies are decoded one after the
 // other. It returns the error of the reading or that of decode.
 func (b *Body) ReadAll(decode func([]byte) error) error {
+	if b.err != nil {
+		return b.err
+	}
 	first := make([]byte, min(firstRead, max(512, b.length)))
 	n, err := b.fill(first)
 	if err == io.EOF {
--- a/internal/httpserver/body_test.go
+++ b/internal/httpserver/body_test.go
@@ -24,12 +24,10 @@
 	s, err := Listen("127.0.0.1:0", WithGuard(g, use))
 	c.Assert(err, qt.IsNil)
 	s.Handle("POST /", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := OpenBody(w, r, 1<<20, 1)
+		body := OpenBody(w, r, 1<<20, 1)
 		defer body.Close()
 		n := 0
-		if err == nil {
-			err = body.ReadAll(func(content []byte) error { n = len(content); return nil })
-		}
+		err := body.ReadAll(func(content []byte) error { n = len(content); return nil })
 		switch reason := body.Reason(); {
 		case reason == bodybudget.TooLarge:
 			CloseAfter(w, r)
--- a/internal/httpserver/stream.go
+++ b/internal/httpserver/stream.go
@@ -25,9 +25,9 @@
 // BoundMessages bounds the body of each request to a handler whose library reads it.
 func BoundMessages(h http.Handler, maxBytes int) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := OpenBody(w, r, int64(maxBytes), messageFactor)
+		body := OpenBody(w, r, int64(maxBytes), messageFactor)
 		defer body.Close()
-		if err != nil {
+		if body.Reason() != 0 {
 			CloseAfter(w, r)
 			if body.Reason() == bodybudget.TooLarge {
 				w.WriteHeader(http.StatusRequestEntityTooLarge)
