Bound the processes that peers can name to an entry

Cause: whoever reaches an entry's address can send Exchange with any number of made-up entries; each was kept for 30 s, and its revision for ever.

Change: at most 1,024 processes are remembered beside those of the store's list, and the revisions of 4,096 addresses.

--- a/internal/entryd/exchange.go
+++ b/internal/entryd/exchange.go
@@ -30,6 +30,9 @@
 	// They push it on, so that with a few dozen entries one in ten thousand gets no
 	// push and learns the revision from a periodic exchange.
 	pushFanout = 8
+	// maxRevisions bounds the addresses whose revision is remembered. A new revision is pushed
+	// to an address beyond them though it may have it.
+	maxRevisions = 4096
 )
 
 // exchangeFunc sends a request to the entry at an address and returns its response.
@@ -183,7 +186,9 @@
 	if entries := m.GetEntries(); len(entries) > 0 {
 		p.members.Mention(now, decodeMembers(entries))
 	}
-	p.revisions[address] = m.GetRevision()
+	if _, known := p.revisions[address]; known || len(p.revisions) < maxRevisions {
+		p.revisions[address] = m.GetRevision()
+	}
 	p.refreshPeers(now)
 	p.mu.Unlock()
 	if t := m.GetTable(); t != nil {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -21,6 +21,9 @@
 	// duplicate. It exceeds the time for which the predecessor of a restarted entry
 	// stays listed.
 	duplicateAfter = LeaseTTL + 5*time.Second
+	// maxRecords bounds the processes that are remembered beside those of the store's list.
+	// Whoever reaches an entry's address can name as many as it likes.
+	maxRecords = 1024
 )
 
 // Member describes one entry process. Name and Incarnation identify it.
@@ -72,6 +75,12 @@
 	return r
 }
 
+// full reports whether a process that is not remembered yet finds no room.
+func (l *List) full(m Member) bool {
+	_, known := l.records[memberKey{m.Name, m.Incarnation}]
+	return !known && len(l.records) >= maxRecords
+}
+
 func (l *List) isSelf(m Member) bool {
 	return m.Name == l.self.Name && m.Incarnation == l.self.Incarnation
 }
@@ -100,7 +109,10 @@
 
 // Contact records an exchange with an entry.
 func (l *List) Contact(now time.Time, m Member) {
-	if m.Name == "" || l.isSelf(m) {
+	if l.full(m) {
+		l.expire(now)
+	}
+	if m.Name == "" || l.isSelf(m) || l.full(m) {
 		return
 	}
 	r := l.getOrAdd(m)
@@ -114,8 +126,11 @@
 // exchange, but count as known only after they have answered one. Otherwise entries
 // could keep a dead one known by naming it to each other.
 func (l *List) Mention(now time.Time, members []Member) {
+	if len(l.records) >= maxRecords {
+		l.expire(now)
+	}
 	for _, m := range members {
-		if m.Name != "" && !l.isSelf(m) {
+		if m.Name != "" && !l.isSelf(m) && !l.full(m) {
 			l.getOrAdd(m).lastMentioned = now
 		}
 	}
