Read headers for 60 s and bound connections at less cost

Cause: a header had to arrive in 5 s, whatever progress it made. Each request read the clock up to four times and went through two hooks of net/http.

Change: the limit of a header is that of a body that stands still; when connections are needed, one without a request gives way after 2 s. Requests in progress are counted in place of net/http's states. A connection whose client does not read its answers counts as idle.

--- a/internal/core/bodybudget/bodybudget.go
+++ b/internal/core/bodybudget/bodybudget.go
@@ -104,10 +104,11 @@
 
 // Open counts a request with what it holds before its body is read: base bytes, which include
 // those of the first covered bytes of the body. Each further byte counts factor times. It
-// returns NoMemory, and counts nothing, if there is no room.
-func (b *Budget) Open(r *Request, now time.Time, base, covered, factor int64) Reason {
+// returns NoMemory, and counts nothing, if there is no room. The clock is read only when memory is
+// short, as in Read.
+func (b *Budget) Open(r *Request, clock func() time.Time, base, covered, factor int64) Reason {
 	r.budget, r.factor, r.covered = b, max(factor, 1), covered
-	if !b.tryAdd(base, b.cfg.Bytes) && !b.makeRoom(now, base, b.cfg.Bytes, r) {
+	if !b.tryAdd(base, b.cfg.Bytes) && !b.makeRoom(clock(), base, b.cfg.Bytes, r) {
 		return NoMemory
 	}
 	r.charged = base
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -28,7 +28,7 @@
 	connection *Connection
 	memory     bodybudget.Request
 	src        io.ReadCloser
-	controller *http.ResponseController
+	w          http.ResponseWriter
 	length     int64
 	max, n     int64
 	tracked    bool
@@ -46,7 +46,7 @@
 	connection := ConnectionOf(r.Context())
 	connection.bodyOpened.Store(true)
 	b := &Body{
-		guard: connection.guard, connection: connection, src: r.Body, controller: http.NewResponseController(w),
+		guard: connection.guard, connection: connection, src: r.Body, w: w,
 		length: r.ContentLength, max: maxBytes,
 	}
 	if r.ContentLength > maxBytes {
@@ -54,7 +54,7 @@
 		return b
 	}
 	if b.guard != nil {
-		if reason := b.guard.budget.Open(&b.memory, time.Now(), requestBytes, firstRead, factor); reason != 0 {
+		if reason := b.guard.budget.Open(&b.memory, time.Now, requestBytes, firstRead, factor); reason != 0 {
 			_ = b.fail(reason)
 		}
 	}
@@ -138,7 +138,7 @@
 	b.deadlineMu.Lock()
 	defer b.deadlineMu.Unlock()
 	b.dropped = true
-	_ = b.controller.SetReadDeadline(time.Unix(1, 0))
+	_ = http.NewResponseController(b.w).SetReadDeadline(time.Unix(1, 0))
 }
 
 // SetReadDeadline bounds the reads that follow, unless the request has been dropped.
@@ -146,7 +146,7 @@
 	b.deadlineMu.Lock()
 	defer b.deadlineMu.Unlock()
 	if !b.dropped {
-		_ = b.controller.SetReadDeadline(t)
+		_ = http.NewResponseController(b.w).SetReadDeadline(t)
 	}
 }
 
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -69,8 +69,9 @@
 type trackedConn struct {
 	*net.TCPConn
 	set *connectionSet
-	// idleSince is the time in nanoseconds since which the connection is open without a
-	// request, or zero while there is one.
+	// requests is the number of requests that handlers serve, idleSince the time in
+	// nanoseconds since the last of them ended, or since the connection was accepted.
+	requests  atomic.Int32
 	idleSince atomic.Int64
 	// beyond is set for a connection that was accepted beyond the bound.
 	beyond atomic.Bool
@@ -98,20 +99,6 @@
 	return t
 }
 
-// connStateChanged is the ConnState of the servers.
-func connStateChanged(conn net.Conn, state http.ConnState) {
-	t := trackedOf(conn)
-	if t == nil {
-		return
-	}
-	switch state {
-	case http.StateIdle:
-		t.idleSince.Store(time.Now().UnixNano())
-	case http.StateActive:
-		t.idleSince.Store(0)
-	}
-}
-
 // trackingListener bounds the connections that it accepts.
 type trackingListener struct {
 	net.Listener
@@ -195,7 +182,7 @@
 	since := now.Add(-idleStall).UnixNano()
 	s.mu.Lock()
 	for t := range s.open {
-		if idle := t.idleSince.Load(); idle != 0 && idle <= since && t.internal.Load() == internal {
+		if idle := t.idleSince.Load(); t.requests.Load() == 0 && idle <= since && t.internal.Load() == internal {
 			longest, since = t, idle
 		}
 	}
@@ -227,48 +214,51 @@
 const (
 	// unreadTimeout is how long the server looks for the end of a body that no handler read.
 	unreadTimeout = time.Second
-	// answerTimeout is how long a client may take to read an answer.
+	// answerTimeout is how long a client may take to read the answer to a GET, such as the
+	// metrics. Answers to jobs are written when their memory has been given back.
 	answerTimeout = 30 * time.Second
 )
 
 // boundRequest refuses the request of a connection that was accepted beyond the bound, and
 // bounds what follows the handler: net/http itself reads up to 256 KiB of a body that the handler
-// left, and writes the answer, without a time limit.
+// left, without a time limit.
 func (s *Server) boundRequest(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
 	c := ConnectionOf(r.Context())
-	if c.tracked == nil {
+	t := c.tracked
+	if t == nil {
 		next(w, r)
 		return
 	}
+	t.requests.Add(1)
+	// A client that does not read its answers keeps its connection no longer than an idle one.
+	defer func() {
+		t.idleSince.Store(time.Now().UnixNano())
+		t.requests.Add(-1)
+	}()
 	if r.ProtoMajor == 2 {
-		c.tracked.http2.Store(true)
+		t.http2.Store(true)
 	}
-	if c.tracked.beyond.Load() && !s.isInternal(r) {
+	if t.beyond.Load() && !s.isInternal(r) {
 		if s.connections.full(1) {
 			s.connections.guard.count(bodybudget.NoConnection)
 			CloseAfter(w, r)
 			Unavailable(w)
 			return
 		}
-		c.tracked.beyond.Store(false)
+		t.beyond.Store(false)
+	}
+	if r.Method == http.MethodGet {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
 	}
 	if r.ProtoMajor != 1 {
-		if r.Method == http.MethodGet {
-			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
-		}
 		next(w, r)
 		return
 	}
 	// Requests of an HTTP/1 connection follow one another.
 	c.bodyOpened.Store(false)
-	controller := http.NewResponseController(w)
-	if r.Method == http.MethodGet {
-		_ = controller.SetWriteDeadline(time.Now().Add(answerTimeout))
-	}
 	next(w, r)
-	_ = controller.SetWriteDeadline(time.Now().Add(answerTimeout))
 	if r.ContentLength != 0 && !c.bodyOpened.Load() {
-		_ = controller.SetReadDeadline(time.Now().Add(unreadTimeout))
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadTimeout))
 	}
 }
 
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -13,14 +13,18 @@
 	"time"
 
 	"github.com/urfave/negroni/v3"
+
+	"github.com/poplarlever/poplarlever/internal/core/bodybudget"
 )
 
 // dialTimeout bounds a connection attempt to another process. A network partition
 // between regions that drops packets would otherwise block it for minutes.
 const dialTimeout = 3 * time.Second
 
-// readHeaderTimeout closes connections that do not send a complete request header.
-const readHeaderTimeout = 5 * time.Second
+// readHeaderTimeout closes connections that do not send a complete request header. A slow client
+// may take as long as a standing body; when connections are needed, one without a request gives
+// way much sooner.
+const readHeaderTimeout = bodybudget.DefaultTimeout
 
 const (
 	// maxHeaderBytes bounds the header of a request. The default of net/http is 1 MiB.
@@ -75,7 +79,7 @@
 	s.mux.HandleFunc("GET /readyz", s.serveReady)
 	recovery := negroni.NewRecovery()
 	recovery.PrintStack = false
-	n := negroni.New(recovery, negroni.HandlerFunc(s.addConnectionClose), negroni.HandlerFunc(s.boundRequest))
+	n := negroni.New(recovery, negroni.HandlerFunc(s.addConnectionClose))
 	n.UseHandlerFunc(s.serve)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
@@ -83,7 +87,7 @@
 	protocols.SetUnencryptedHTTP2(cfg == nil)
 	s.server = &http.Server{
 		Handler: n, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: cfg, ConnContext: withConnection,
-		MaxHeaderBytes: maxHeaderBytes, ConnState: connStateChanged,
+		MaxHeaderBytes: maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			MaxReadFrameSize: http2Frame, MaxReceiveBufferPerConnection: http2Window, MaxReceiveBufferPerStream: http2Window,
 		},
@@ -111,7 +115,9 @@
 // or dotted segments. It must be called before Serve.
 func (s *Server) HandleAll(h http.Handler) { s.all = h }
 
-func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) { s.boundRequest(w, r, s.serveBounded) }
+
+func (s *Server) serveBounded(w http.ResponseWriter, r *http.Request) {
 	if s.all != nil {
 		s.all.ServeHTTP(w, r)
 		return
--- a/internal/httpserver/stream.go
+++ b/internal/httpserver/stream.go
@@ -68,7 +68,7 @@
 			return
 		}
 		s := &Stream{guard: c.guard, set: c.set(), src: r.Body, controller: http.NewResponseController(w), max: int64(maxMessage)}
-		if reason := c.guard.budget.Open(&s.memory, time.Now(), requestBytes, firstRead, messageFactor); reason != 0 {
+		if reason := c.guard.budget.Open(&s.memory, time.Now, requestBytes, firstRead, messageFactor); reason != 0 {
 			c.guard.count(reason)
 			Unavailable(w)
 			return
