Keep the inputs that expand out of the fuzzed corpus

Bodies of 1 to 4 MiB among the seeds let the fuzzer run 14 inputs in 20 s. They stand in tests of their own with the same bound on allocation; the seeds are short forms of them.

--- a/internal/entryd/fuzz_test.go
+++ b/internal/entryd/fuzz_test.go
@@ -24,10 +24,9 @@
 	} {
 		f.Add([]byte(text))
 	}
-	for _, task := range []string{"{}", "null", `{"payload":""}`, `{"declaredSize":{}}`, "[]"} {
-		f.Add([]byte(`{"tasks":[` + strings.TrimSuffix(strings.Repeat(task+",", (4<<20-20)/(len(task)+1)), ",") + `]}`))
+	for _, text := range expandingJSON(1000) {
+		f.Add(text)
 	}
-	f.Add([]byte(`{"service":"` + strings.Repeat("\\u0000", 600_000) + `"}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		var req pb.SubmitRequest
 		var err error
@@ -67,10 +66,8 @@
 // Guards against a binary request or frame on which the decoder panics, or that takes many times
 // its size: an empty element has two bytes.
 func FuzzBinaryMessages(f *testing.F) {
-	for _, tag := range []byte{5<<3 | 2, 2<<3 | 2, 1<<3 | 2} {
-		f.Add(bytes.Repeat([]byte{tag, 0}, 2<<20))
-		f.Add(bytes.Repeat([]byte{tag, 2, tag, 0}, 1<<20))
-		f.Add(bytes.Repeat([]byte{tag, 4, tag, 2, tag, 0}, 600<<10))
+	for _, data := range expandingBinary(1000) {
+		f.Add(data)
 	}
 	job, err := proto.Marshal(&pb.SubmitRequest{Service: "s", Tasks: []*pb.Task{{Payload: []byte("x")}}})
 	if err != nil {
@@ -78,12 +75,48 @@
 	}
 	f.Add(job)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		for _, m := range []proto.Message{&pb.SubmitRequest{}, &pb.CancelRequest{}, &pb.ExchangeRequest{}, &pb.AgentFrame{}} {
+		for _, m := range requestMessages() {
 			checkAllocated(t, 2*len(data), func() { _ = boundedProto{}.Unmarshal(data, m) })
 		}
 	})
 }
 
+func requestMessages() []proto.Message {
+	return []proto.Message{&pb.SubmitRequest{}, &pb.CancelRequest{}, &pb.ExchangeRequest{}, &pb.AgentFrame{}}
+}
+
+// expandingJSON returns jobs of about the given size whose decoded form is larger.
+func expandingJSON(size int) [][]byte {
+	all := [][]byte{[]byte(`{"service":"` + strings.Repeat("\\u0000", size/6) + `"}`)}
+	for _, task := range []string{"{}", "null", `{"payload":""}`, `{"declaredSize":{}}`, "[]"} {
+		all = append(all, []byte(`{"tasks":[`+strings.TrimSuffix(strings.Repeat(task+",", size/(len(task)+1)), ",")+`]}`))
+	}
+	return all
+}
+
+// expandingBinary returns messages of about the given size that consist of empty elements.
+func expandingBinary(size int) [][]byte {
+	var all [][]byte
+	for _, tag := range []byte{5<<3 | 2, 2<<3 | 2, 1<<3 | 2} {
+		for _, element := range [][]byte{{tag, 0}, {tag, 2, tag, 0}, {tag, 4, tag, 2, tag, 0}} {
+			all = append(all, bytes.Repeat(element, size/len(element)))
+		}
+	}
+	return all
+}
+
+// Guards against a message of the largest size whose decoded form exhausts the memory.
+func TestExpandingMessages(t *testing.T) {
+	for _, text := range expandingJSON(4<<20 - 100) {
+		checkAllocated(t, len(text), func() { _ = (strictJSON{name: "json"}).Unmarshal(text, &pb.SubmitRequest{}) })
+	}
+	for _, data := range expandingBinary(4 << 20) {
+		for _, m := range requestMessages() {
+			checkAllocated(t, 2*len(data), func() { _ = boundedProto{}.Unmarshal(data, m) })
+		}
+	}
+}
+
 // Guards against legal messages that are refused as too large when decoded: the largest job, and
 // frames of the smallest messages that agents send in numbers.
 func TestLegalMessagesAreDecoded(t *testing.T) {
