Test crowds of HTTP/2 requests whose bodies do not end

Change: TestHostileStreams sends 256 KiB of a body on each of 25 requests on each of 40 connections, on both interfaces. The windows of HTTP/2 are 64 KiB, the smallest that the protocol allows for a connection, 64 MB/s at a round trip of 1 ms.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -32,8 +32,8 @@
 	// http2Frame is the largest frame, which each connection keeps a buffer for.
 	http2Frame = 16 << 10
 	// http2Window is how much a connection and a stream may send ahead of what handlers have
-	// read. It carries 128 MB/s at a round trip of 1 ms.
-	http2Window = 128 << 10
+	// read. It carries 64 MB/s at a round trip of 1 ms.
+	http2Window = 64 << 10
 )
 
 // Server serves the handlers of one mux on one address. It is safe for concurrent
--- a/internal/processtest/hostile_test.go
+++ b/internal/processtest/hostile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/base64"
 	"fmt"
 	"io"
@@ -16,6 +17,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/poplarlever/poplarlever/internal/httpserver"
 )
 
 // Numbers of hostile clients, and the bounds that the processes have to keep.
@@ -33,6 +36,10 @@
 	platformBody = 1 << 20
 	nativeBody   = 4<<20 - 8<<10
 	agentBody    = 4 << 20
+	// streamConnections and streamsEach are the number of HTTP/2 connections and of requests on
+	// each, streamBody what each sends of its body, in bytes.
+	streamConnections, streamsEach = 40, 25
+	streamBody                     = 256 << 10
 	// overLimitBody is announced by clients that send too much, overLimitSent what they send
 	// unless they are cut off, in bytes.
 	overLimitBody = 256 << 20
@@ -464,6 +471,75 @@
 	}
 }
 
+// Guards against a process that runs out of memory because of many requests on each of many
+// HTTP/2 connections, whose bodies do not end.
+func TestHostileStreams(t *testing.T) {
+	for _, path := range []string{"/q/", "/poplarlever.v1.Dispatch/Submit?"} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			entry := startHostileEntry(c, hostileEntryLimits)
+			address := entry.address
+			if path == "/q/" {
+				address = entry.front
+			}
+			u := entry.watchUsage(entry.address, entry.front)
+			ctx, cancel := context.WithCancel(context.Background())
+			var group, sent sync.WaitGroup
+			c.Cleanup(func() { cancel(); group.Wait() })
+			for i := range streamConnections {
+				client := httpserver.NewClient()
+				for k := range streamsEach {
+					sent.Add(1)
+					body := &endlessBody{left: streamBody, sent: sync.OnceFunc(sent.Done), end: ctx.Done()}
+					req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s%s%016x", address, path, 0xabc<<32+i*streamsEach+k), body)
+					c.Assert(err, qt.IsNil)
+					req.Host = "h.example"
+					req.Header.Set("Content-Type", "application/json")
+					group.Go(func() {
+						defer body.sent()
+						resp, err := client.Do(req)
+						if err != nil {
+							return
+						}
+						_ = resp.Body.Close()
+					})
+				}
+			}
+			waitSent := make(chan struct{})
+			go func() { sent.Wait(); close(waitSent) }()
+			select {
+			case <-waitSent:
+			case <-time.After(hostileTimeout):
+			}
+			entry.waitPlatformAnswer(c)
+			entry.waitNativeAnswer(c)
+			u.stop()
+			entry.checkUsage(c, u, hostileEntryMemory)
+		})
+	}
+}
+
+// endlessBody is a body that is sent up to a point and then stands still.
+type endlessBody struct {
+	left int
+	sent func()
+	end  <-chan struct{}
+}
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		b.sent()
+		<-b.end
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := min(len(p), b.left)
+	for i := range p[:n] {
+		p[i] = ' '
+	}
+	b.left -= n
+	return n, nil
+}
+
 // hostileAgentLimits are the limits in the agent's settings.
 const hostileAgentLimits = `[limits]
 memory = "128MiB"
