--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -32,6 +32,7 @@
 				return err
 			}
 			defer func() { _ = log.Sync() }()
+			limitAgentMemory(s.Limits.Memory.N)
 			a, err := buildAgent(s, log)
 			if err != nil {
 				return err
@@ -63,6 +64,7 @@
 func agentOverrides(cmd *cli.Command, s *settings.Agent) []settings.Override {
 	list := append(processOverrides(cmd, &s.Listen, &s.FailureDomain, &s.StopLimit, &s.Log),
 		overrides(cmd, map[string]*string{"worker": &s.Worker})...)
+	list = append(list, limitOverrides(cmd, &s.Limits.Memory, &s.Limits.MaxDescriptors)...)
 	if cmd.IsSet("entry") {
 		list = append(list, settings.Override{Key: "entries", Flag: "entry", Set: func() { s.Entries = cmd.StringSlice("entry") }})
 	}
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -69,6 +69,7 @@
 			"name": &s.Name, "advertise": &s.Advertise, "store.address": &s.Store.Address,
 			"authentication": &s.Authentication,
 		})...)
+	list = append(list, limitOverrides(cmd, &s.Limits.Memory, &s.Limits.MaxDescriptors)...)
 	if cmd.IsSet("peer") {
 		list = append(list, settings.Override{Key: "peers", Flag: "peer", Set: func() { s.Peers = cmd.StringSlice("peer") }})
 	}
--- a/internal/command/flags.go
+++ b/internal/command/flags.go
@@ -20,6 +20,8 @@
 		&cli.StringFlag{Name: "failure-domain", Usage: "failure domain of this VM"},
 		&cli.DurationFlag{Name: "stop-limit", Usage: "longest duration of a graceful stop", DefaultText: settings.DefaultStopLimit.String()},
 		contractsFlag(),
+		&cli.StringFlag{Name: "memory", Usage: "`SIZE` of the memory that the process may use, for example 184MiB", Validator: validateSize},
+		&cli.IntFlag{Name: "max-descriptors", Usage: "`NUMBER` of descriptors that the process may open"},
 		&cli.StringFlag{Name: "log-format", Usage: "json or console"},
 		&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error"},
 	}
@@ -35,6 +37,23 @@
 	return list
 }
 
+// limitOverrides returns the overrides of the limits that entries and agents have.
+func limitOverrides(cmd *cli.Command, memory *settings.Bytes, descriptors *int) []settings.Override {
+	var list []settings.Override
+	if cmd.IsSet("memory") {
+		list = append(list, settings.Override{Key: "limits.memory", Flag: "memory", Set: func() { _ = memory.UnmarshalText([]byte(cmd.String("memory"))) }})
+	}
+	if cmd.IsSet("max-descriptors") {
+		list = append(list, settings.Override{Key: "limits.max_descriptors", Flag: "max-descriptors", Set: func() { *descriptors = cmd.Int("max-descriptors") }})
+	}
+	return list
+}
+
+func validateSize(text string) error {
+	var size settings.Bytes
+	return size.UnmarshalText([]byte(text))
+}
+
 // overrides returns an override for each key whose flag is set on the command line.
 func overrides(cmd *cli.Command, targets map[string]*string) []settings.Override {
 	var list []settings.Override
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,6 +66,7 @@
 	InsecureNetwork bool          `toml:"insecure_network"`
 	Store           Store         `toml:"store"`
 	Platform        AgentPlatform `toml:"platform"`
+	Limits          AgentLimits   `toml:"limits"`
 	// Source records where each value came from, for errors after loading.
 	Source Source `toml:"-"`
 }
@@ -121,6 +122,15 @@
 	MaxPayload Bytes `toml:"max_payload"`
 	// Memory is the total memory that the process may use; zero means no limit.
 	Memory Bytes `toml:"memory"`
+	// MaxDescriptors is the largest number of open descriptors; zero means the limit of the
+	// process.
+	MaxDescriptors int `toml:"max_descriptors"`
+}
+
+// AgentLimits bounds what an agent uses. The fields are those of EntryLimits.
+type AgentLimits struct {
+	Memory         Bytes `toml:"memory"`
+	MaxDescriptors int   `toml:"max_descriptors"`
 }
 
 // EntryAdmission holds the settings of which jobs an entry refuses while a service is full.
