Report what ran beside a task with its result

An entry needs to know which tasks of all entries ran beside its own to estimate interference. Welcome can ask for it for one of every n jobs; the agent then follows the tasks of its worker and adds the load and up to eight job types to the results of these jobs. No message is added, and without the request nothing is followed or sent.

Cost on a link: 24 bytes for three job types and 49 for eight, in the results of the jobs asked for (TestColocationBytes).

linkpb_test.go: the round trips cover the new fields.

--- a/internal/agentd/links.go
+++ b/internal/agentd/links.go
@@ -166,7 +166,7 @@
 	box := newLinkOutbox(cancel, k.loop.metrics, k.counter)
 	k.loop.submit(func(now time.Time) {
 		k.loop.links[welcome.Incarnation] = box
-		k.loop.core.Step(now, agent.LinkUp{Entry: welcome.Incarnation, Name: welcome.Entry})
+		k.loop.core.Step(now, agent.LinkUp{Entry: welcome.Incarnation, Name: welcome.Entry, ColocationEvery: welcome.ColocationEvery})
 		k.resendChangedHello(box, hello)
 	})
 	k.selector.linkUp(k.address, welcome.Incarnation)
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/colocation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/invariant"
 )
@@ -86,7 +87,9 @@
 	revision    uint64
 	outcomes    outcomeCounter
 	crashes     crashLog
-	out         []Output
+	// colocation is nil while no entry asks for it.
+	colocation *colocation.Tracker
+	out        []Output
 }
 
 // New returns a core with no endpoint and no links.
--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/colocation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/invariant"
@@ -34,6 +35,8 @@
 	size    msg.Size
 	// taskName and jobType are those of a task at a leased worker.
 	taskName, jobType string
+	// beside is set while what runs beside the attempt is followed.
+	beside *colocation.Mark
 	// stopping is set once a StopTask was emitted for the running attempt.
 	stopping bool
 }
@@ -115,7 +118,9 @@
 	if e.running++; e.running == 1 {
 		e.busySince = now
 	}
-	c.attempts[d.Attempt] = &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size, taskName: d.TaskName, jobType: d.JobType}
+	a := &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size, taskName: d.TaskName, jobType: d.JobType}
+	c.attempts[d.Attempt] = a
+	c.followStart(now, a)
 	c.running++
 	c.used = c.used.Plus(d.Size)
 	c.checkUsage(d.Size)
@@ -243,7 +248,7 @@
 	c.used = c.used.Minus(a.size)
 	c.releases.add(now, a.size.Cores)
 	a.state = stateDone
-	a.result = msg.Result{Attempt: in.Attempt, Kind: in.Kind, Payload: in.Payload, RunTime: in.RunTime}
+	a.result = msg.Result{Attempt: in.Attempt, Kind: in.Kind, Payload: in.Payload, RunTime: in.RunTime, Beside: c.followEnd(now, in, a)}
 	switch in.Kind {
 	case msg.ResultEndpointFailed:
 		c.endpoint.abandon(in.Attempt)
--- a/internal/core/agent/entries.go
+++ b/internal/core/agent/entries.go
@@ -39,6 +39,8 @@
 	crashesSent uint64
 	// reportedRoom is the room in the latest report to the entry.
 	reportedRoom msg.Size
+	// colocationEvery is the latest msg.Welcome.ColocationEvery.
+	colocationEvery uint32
 	// lastSeq is the largest Dispatch.Seq received.
 	lastSeq uint64
 	// forgottenUntil is the largest StartBy of an attempt that ran and whose
@@ -159,6 +161,8 @@
 	if replaced != nil {
 		c.retire(replaced)
 	}
+	e.colocationEvery = in.ColocationEvery
+	c.setColocation(now)
 	c.redistributeGrants()
 	// The endpoint may have announced itself after Hello was written.
 	c.send(now, e, c.hello(e))
--- a/internal/core/agent/io.go
+++ b/internal/core/agent/io.go
@@ -14,6 +14,8 @@
 type LinkUp struct {
 	Entry msg.Incarnation
 	Name  string
+	// ColocationEvery is that of Welcome.
+	ColocationEvery uint32
 }
 
 // LinkDown says that the link to an entry is broken.
--- a/internal/core/colocation/colocation.go
+++ b/internal/core/colocation/colocation.go
@@ -38,6 +38,8 @@
 type Summary struct {
 	// Known is set if the task was observed from its start to its end.
 	Known bool
+	// Malformed is set if a message held values that no agent sends.
+	Malformed bool
 	// Load is the mean part of the worker's cores that other tasks used, from 0 to 1.
 	Load float64
 	// Neighbours lists job types, those with most tasks first.
--- a/internal/core/coretest/network.go
+++ b/internal/core/coretest/network.go
@@ -153,7 +153,7 @@
 		a.step(agent.Received{Entry: l.entryInc, Message: m})
 	case l.entryInc == 0 && isWelcome:
 		l.entryInc = welcome.Incarnation
-		a.step(agent.LinkUp{Entry: welcome.Incarnation, Name: welcome.Entry})
+		a.step(agent.LinkUp{Entry: welcome.Incarnation, Name: welcome.Entry, ColocationEvery: welcome.ColocationEvery})
 	case l.entryInc == 0:
 		l.closeSides(!l.blackholed, true)
 	}
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/colocation"
 	"github.com/poplarlever/poplarlever/internal/core/health"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
@@ -209,6 +210,8 @@
 	Payload []byte
 	RunTime time.Duration
 	Report  Slots
+	// Beside says what ran beside the task, if Welcome asked for it.
+	Beside colocation.Summary
 }
 
 // AttemptState is what an agent reports about one attempt.
@@ -277,6 +280,9 @@
 	Incarnation Incarnation
 	Peers       []Peer
 	Revision    uint64
+	// ColocationEvery asks the agent to say in the results of jobs whose number is a multiple
+	// of it what ran beside their tasks; zero asks for none.
+	ColocationEvery uint32
 }
 
 // Rejected closes a link that the entry does not accept.
--- a/internal/linkpb/agent.go
+++ b/internal/linkpb/agent.go
@@ -31,7 +31,7 @@
 	case msg.Result:
 		return &pb.AgentMessage{Message: &pb.AgentMessage_Result{Result: &pb.Result{
 			Attempt: encodeAttempt(m.Attempt), Kind: pb.ResultKind(m.Kind), Payload: m.Payload,
-			RunTimeNs: int64(m.RunTime), Report: encodeSlots(m.Report),
+			RunTimeNs: int64(m.RunTime), Report: encodeSlots(m.Report), Beside: encodeColocation(m.Beside),
 		}}}
 	case msg.AttemptStates:
 		return &pb.AgentMessage{Message: &pb.AgentMessage_States{States: encodeStates(m)}}
@@ -174,7 +174,7 @@
 	}
 	return msg.Result{
 		Attempt: decodeAttempt(r.GetAttempt()), Kind: msg.ResultKind(r.GetKind()), Payload: r.GetPayload(),
-		RunTime: time.Duration(r.GetRunTimeNs()), Report: decodeSlots(r.GetReport()),
+		RunTime: time.Duration(r.GetRunTimeNs()), Report: decodeSlots(r.GetReport()), Beside: decodeColocation(r.GetBeside()),
 	}, nil
 }
 
--- a/internal/linkpb/entry.go
+++ b/internal/linkpb/entry.go
@@ -104,7 +104,7 @@
 	for i, p := range m.Peers {
 		peers[i] = &pb.EntryPeer{Name: p.Name, Address: p.Address, FailureDomain: p.FailureDomain}
 	}
-	return &pb.Welcome{Entry: m.Entry, Incarnation: uint64(m.Incarnation), Revision: m.Revision, Peers: peers}
+	return &pb.Welcome{Entry: m.Entry, Incarnation: uint64(m.Incarnation), Revision: m.Revision, Peers: peers, ColocationEvery: m.ColocationEvery}
 }
 
 func decodeWelcome(p *pb.Welcome) (msg.FromEntry, error) {
@@ -115,7 +115,7 @@
 	for i, e := range p.GetPeers() {
 		peers[i] = msg.Peer{Name: e.GetName(), Address: e.GetAddress(), FailureDomain: e.GetFailureDomain()}
 	}
-	return msg.Welcome{Entry: p.GetEntry(), Incarnation: msg.Incarnation(p.GetIncarnation()), Revision: p.GetRevision(), Peers: peers}, nil
+	return msg.Welcome{Entry: p.GetEntry(), Incarnation: msg.Incarnation(p.GetIncarnation()), Revision: p.GetRevision(), Peers: peers, ColocationEvery: p.GetColocationEvery()}, nil
 }
 
 func encodeAttemptRefs(refs []msg.AttemptRef) []*pb.RevokeItem {
--- a/internal/linkpb/linkpb_test.go
+++ b/internal/linkpb/linkpb_test.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/poplarlever/poplarlever/internal/core/colocation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/linkpb"
@@ -32,6 +33,9 @@
 		},
 		msg.Refused{Attempt: id, Reason: verdict.NoSlot, Report: report},
 		msg.Result{Attempt: id, Kind: msg.ResultOK, Payload: []byte("p"), RunTime: time.Second, Report: report},
+		msg.Result{Attempt: id, Kind: msg.ResultOK, Payload: []byte("p"), RunTime: time.Second, Report: report, Beside: colocation.Summary{
+			Known: true, Load: 51.0 / 255, Neighbours: []colocation.Neighbour{{Type: 1<<32 - 1, Mean: 2.5}, {Type: 0, Mean: 0.0625}},
+		}},
 		msg.AttemptStates{Attempts: []msg.AttemptStateItem{{Attempt: id, State: msg.Forgotten}}},
 		msg.Heartbeat{Report: report, Revision: 11},
 		msg.Leaving{Report: report},
@@ -50,7 +54,7 @@
 // Guards against a message field that is lost in encoding or decoding.
 func TestRoundTripFromEntry(t *testing.T) {
 	for _, m := range []msg.FromEntry{
-		msg.Welcome{Entry: "e", Incarnation: 1, Peers: []msg.Peer{{Name: "n", Address: "a", FailureDomain: "d"}}, Revision: 2},
+		msg.Welcome{Entry: "e", Incarnation: 1, Peers: []msg.Peer{{Name: "n", Address: "a", FailureDomain: "d"}}, Revision: 2, ColocationEvery: 4},
 		msg.Rejected{Reason: "r"},
 		msg.Dispatch{
 			Attempt: id, Seq: 1, AgentIncarnation: 2, StartBy: 3, RunLimit: 4,
@@ -97,3 +101,35 @@
 	_, err := linkpb.DecodeFromEntry(&pb.EntryMessage{})
 	qt.Check(t, errorx.IsOfType(err, linkpb.ErrMalformed), qt.IsTrue)
 }
+
+// Guards against a result that is lost because of what it says about the tasks beside it.
+func TestMalformedColocationLeavesTheResult(t *testing.T) {
+	for name, beside := range map[string]*pb.Colocation{
+		"load above one":          {Load: 256},
+		"more types than means":   {Types: []uint32{1, 2}, Means: []uint32{1}},
+		"too many types":          {Types: make([]uint32, 9), Means: make([]uint32, 9)},
+		"more tasks than can run": {Types: []uint32{1}, Means: []uint32{1 << 31}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := linkpb.EncodeFromAgent(msg.Result{Attempt: id, Kind: msg.ResultOK, Payload: []byte("p")})
+			m.GetResult().Beside = beside
+			got, err := linkpb.DecodeFromAgent(m)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, got.(msg.Result).Beside, qt.DeepEquals, colocation.Summary{Malformed: true})
+			qt.Assert(t, string(got.(msg.Result).Payload), qt.Equals, "p")
+		})
+	}
+}
+
+// Guards against a summary that takes more bytes than docs/design/interference.md states.
+func TestColocationBytes(t *testing.T) {
+	size := func(neighbours int) int {
+		s := colocation.Summary{Known: neighbours >= 0, Load: 0.7}
+		for i := range neighbours {
+			s.Neighbours = append(s.Neighbours, colocation.Neighbour{Type: colocation.TypeIDOf(fmt.Sprint(i)), Mean: 2})
+		}
+		return proto.Size(linkpb.EncodeFromAgent(msg.Result{Attempt: id, Kind: msg.ResultOK, Report: report, Beside: s}))
+	}
+	qt.Check(t, size(3)-size(-1), qt.Equals, 24)
+	qt.Check(t, size(8)-size(-1), qt.Equals, 49)
+}
