Prefer different workers for job types that interfere

With Config.SeparateJobTypes the entry compares the tasks of each job once all have ended, with what their agents say ran beside them, and divides the workers between job types that slow each other down. No task waits or is refused for it.

Without the setting agents are asked for nothing and nothing is kept.

--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -167,6 +167,7 @@
 	if r.Kind == msg.ResultOK {
 		c.recordRun(now, a.job, w, a.sentAt, r.RunTime)
 	}
+	c.recordColocation(now, a.job, a.task, w, r)
 	c.applyResult(a.job, a.task, w, r)
 }
 
--- a/internal/core/entry/crashes.go
+++ b/internal/core/entry/crashes.go
@@ -35,6 +35,7 @@
 	}
 	// The silence of a worker that crashed says nothing about its speed.
 	w.slowdown = slowdown{}
+	c.separations.forgetWorker(w)
 	w.crashed = w.hello.Leaving
 	c.applyConfinement()
 	c.giveUpQueued()
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -60,6 +60,9 @@
 	MaxTasks int
 	// MaxPayload is the largest payload of a task, in bytes.
 	MaxPayload int
+	// SeparateJobTypes makes the entry learn which job types slow each other down and prefer
+	// different workers for them.
+	SeparateJobTypes bool
 }
 
 // defaultProbeAfter is above StartWindow, after which an attempt that has not started
@@ -107,6 +110,8 @@
 	// one.
 	revokeTargets []*worker
 	crashes       crashlog.Log
+	// separations is nil unless Config.SeparateJobTypes is set.
+	separations *separations
 	// messageDelay is the mean delay of the latest messages from agents, in seconds.
 	messageDelay float64
 	latestDelay  time.Duration
@@ -131,6 +136,8 @@
 		attempts: make(map[msg.AttemptID]*attempt),
 		queue:    newQueue(usage),
 		workers:  newWorkerSet(),
+
+		separations: newSeparations(cfg.SeparateJobTypes),
 	}
 }
 
@@ -201,6 +208,7 @@
 	c.sendPeers(now)
 	c.checkWorkers(now)
 	c.checkOverdue(now)
+	c.checkSeparations(now)
 	c.dispatchQueued(now)
 	c.flushRevokes(now)
 }
@@ -226,6 +234,7 @@
 	invariant.Check(p.Revision > c.policy.Revision, invariant.RevisionForward, "entry %s goes from table revision %d to %d", c.cfg.Name, c.policy.Revision, p.Revision)
 	c.policy, c.mostUrgent = p, mostUrgent(p)
 	c.applyAllotments()
+	c.separations.applyPolicy(p)
 	for _, w := range c.workers.list {
 		if w.linked() && w.revision < p.Revision {
 			c.sendTable(now, w)
@@ -267,6 +276,7 @@
 	}
 	return msg.Welcome{
 		Entry: c.cfg.Name, Incarnation: c.cfg.Incarnation, Peers: peers, Revision: c.policy.Revision,
+		ColocationEvery: c.separations.colocationEvery(),
 	}
 }
 
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/interference"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
@@ -192,6 +193,17 @@
 	Confined         bool
 }
 
+// JobTypesSeparated reports that the tasks of two job types prefer different workers from
+// now on, or no longer do.
+type JobTypesSeparated interference.Pair
+
+// ColocationRejected reports results with invalid values about what ran beside their tasks.
+// The results count, these values do not. Worker is the latest one that sent some.
+type ColocationRejected struct {
+	Worker string
+	Count  int
+}
+
 func (Send) output()             {}
 func (CloseLink) output()        {}
 func (Answered) output()         {}
@@ -204,6 +216,9 @@
 func (JobEnding) output()        {}
 func (ResultAfterEnd) output()   {}
 
+func (JobTypesSeparated) output()  {}
+func (ColocationRejected) output() {}
+
 // Outcome says how a job ended.
 type Outcome uint8
 
--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -41,6 +41,8 @@
 	confined bool
 	// runs records where tasks of the job ran and for how long, for comparison.
 	runs []taskRun
+	// observed holds the runs of which it is known what ran beside them.
+	observed observedRuns
 	// unfinishedByStep counts the unfinished tasks of each step.
 	unfinishedByStep []int
 	phase            jobPhase
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -32,11 +32,15 @@
 	var best *worker
 	bestScore, ties := 0.0, 0
 	p.examined += len(p.workers)
+	preferred, separated := c.preferredWorkers(j)
 	for _, w := range p.workers {
 		if !w.fits(size) || !w.allowed(j, task, step) || !w.mayTake(p, j, task, step) || !c.crashRulesAllow(w, j, task, step) {
 			continue
 		}
 		score := w.score(j, task, step) - w.cellScore(j)
+		if separated && !preferred.Contains(w.separationRank) {
+			score -= separationScore
+		}
 		switch {
 		case best == nil || score > bestScore:
 			best, bestScore, ties = w, score, 1
--- a/internal/core/entry/snapshot.go
+++ b/internal/core/entry/snapshot.go
@@ -5,7 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/interference"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/separation"
 )
 
 // Snapshot is a copy of the state of an entry that operators see.
@@ -21,6 +23,16 @@
 	Workers      []WorkerSnapshot
 	Accounts     []AccountSnapshot
 	Peers        []msg.Peer
+	// SeparatedPairs lists the job types whose tasks prefer different workers, ObservedPairs
+	// counts those with evidence.
+	SeparatedPairs []SeparatedPair
+	ObservedPairs  int
+}
+
+// SeparatedPair is a pair of job types with the parts of the workers that each prefers.
+type SeparatedPair struct {
+	interference.Pair
+	JobTypeWorkers, NeighbourWorkers separation.Interval
 }
 
 // WorkerSnapshot is the entry's view of one worker.
@@ -53,6 +65,7 @@
 		Revision: c.policy.Revision, Jobs: len(c.jobs), QueuedTasks: c.queue.tasks,
 		RunningTasks: len(c.attempts), Links: len(c.workers.byLink), Draining: c.draining,
 		MessageDelay: c.MessageDelay(), Workers: c.workerSnapshots(), Accounts: c.accountSnapshots(), Peers: slices.Clone(c.peers),
+		SeparatedPairs: c.separatedPairs(), ObservedPairs: c.separations.observedPairs(),
 	}
 }
 
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -55,6 +55,8 @@
 	suspects int
 	// inCell is set for a worker that tasks of confined job types may use.
 	inCell bool
+	// separationRank is the worker's place in the order of package separation.
+	separationRank float64
 	// reported is when the newest report arrived.
 	reported time.Time
 	// seq is the Seq of the latest dispatch. It starts above every Seq that an earlier
@@ -319,6 +321,7 @@
 	w.health, w.outcomes, w.slowdown = health.Worker{}, health.Outcomes{}, slowdown{}
 	w.covered, w.lastReport, w.revision, w.clock, w.clockSeen = 0, 0, 0, 0, time.Time{}
 	w.transit = transit{}
+	c.separations.forgetWorker(w)
 }
 
 // unlink closes the current link, if any.
@@ -346,6 +349,7 @@
 	w.crashed = w.crashed && h.Leaving
 	c.noteCrashes(now, w, h.Crashes)
 	c.markCells()
+	c.separations.workersChanged()
 }
 
 func (c *Core) linkDown(now time.Time, id LinkID) {
@@ -433,6 +437,7 @@
 	}
 	if len(lost) > 0 {
 		c.markCells()
+		c.separations.workersChanged()
 	}
 }
 
--- a/internal/core/interference/interference.go
+++ b/internal/core/interference/interference.go
@@ -54,7 +54,7 @@
 	// expireInterval is the time between two searches for evidence that has faded.
 	expireInterval = 10 * time.Second
 	// maxRatio bounds ratios of run times, in both directions.
-	maxRatio = 1000.0
+	maxRatio = 1e6
 )
 
 // Bounds of the state, which is then below 2 MB.
