--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -79,6 +79,7 @@
 		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration,
 		AckDelay:      s.Timing.AckDelay.Duration, RunLimit: s.Timing.RunLimit.Duration,
 		MaxQueued: s.Limits.MaxQueued, MaxTasks: s.Limits.MaxTasks, MaxPayload: s.Limits.MaxPayload.N,
+		SeparateJobTypes: s.Placement.SeparateJobTypes,
 	}
 }
 
--- a/internal/command/statusprint.go
+++ b/internal/command/statusprint.go
@@ -59,10 +59,30 @@
 		fmt.Fprintf(tab, "%s\t%d\t%d\t%s\t%s\n", a.Account, a.QueuedTasks, a.RunningTasks,
 			percent(float64(a.RunningTasks)/max(1, float64(running))), percent(a.DueShare))
 	}
+	printSeparated(tab, reports)
 	printUnapplied(tab, reports)
 	return tab.Flush()
 }
 
+// printSeparated prints the pairs of job types that each entry keeps on different workers,
+// if there are any. Entries learn for themselves, so their rows may differ.
+func printSeparated(w io.Writer, reports []entryReport) {
+	header := "\nSEPARATED JOB TYPE\tFROM\tSERVICE\tENTRY\tSLOWDOWN\tAT LEAST\tRUNS\tWORKERS\tWORKERS OF THE OTHER"
+	for _, r := range reports {
+		for _, p := range r.status.GetSeparatedPairs() {
+			if header != "" {
+				fmt.Fprintln(w, header)
+				header = ""
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.2f\t%.2f\t%d\t%s\t%s\n", p.GetJobType(), p.GetNeighbour(), p.GetService(), r.status.GetEntry().GetName(),
+				p.GetSlowdown(), p.GetSlowdownLow(), p.GetRuns(), interval(p.GetJobTypeLow(), p.GetJobTypeHigh()), interval(p.GetNeighbourLow(), p.GetNeighbourHigh()))
+		}
+	}
+}
+
+// interval returns a part of the order of workers, such as "0-38%".
+func interval(low, high float64) string { return fmt.Sprintf("%.0f-%.0f%%", 100*low, 100*high) }
+
 // printUnapplied prints what of the newest table is not in force, if there is anything.
 func printUnapplied(w io.Writer, reports []entryReport) {
 	for _, r := range reports {
--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -162,6 +162,11 @@
 				zap.Int("attempts", out.Attempts), zap.Int64("silence_ms", out.Silence.Milliseconds()))
 		case entry.JobTypeConfined:
 			logevent.JobTypeConfined.Log(l.log, zap.String("service", out.Service), zap.String("job_type", out.JobType), zap.Bool("confined", out.Confined))
+		case entry.JobTypesSeparated:
+			logevent.PairSeparated.Log(l.log, zap.String("service", out.Service), zap.String("job_type", out.JobType), zap.String("neighbour", out.Neighbour),
+				zap.Bool("separated", out.Separated), zap.Float64("slowdown", out.Slowdown), zap.Float64("low", out.Low), zap.Int("runs", out.Runs))
+		case entry.ColocationRejected:
+			logevent.BesideRejected.Log(l.log, zap.String("worker", out.Worker), zap.Int("count", out.Count))
 		case entry.JobEnding:
 			if w, ok := l.waiters[out.Job]; ok {
 				logevent.JobEnding.Log(l.log, zap.String("job", w.name), zap.Stringer("reason", out.Reason),
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -29,6 +29,10 @@
 		if out.Confined {
 			l.metrics.JobTypeConfined()
 		}
+	case entry.JobTypesSeparated:
+		l.metrics.PairSeparated(out.Separated)
+	case entry.ColocationRejected:
+		l.metrics.ColocationRejected(out.Count)
 	case entry.ResultAfterEnd:
 		l.metrics.EndedAfterJob(out.Kind)
 	case entry.WorkerConflict:
@@ -64,6 +68,7 @@
 		QueuedTasks: s.QueuedTasks, RunningTasks: s.RunningTasks, OpenJobs: s.Jobs,
 		MessageDelay: s.MessageDelay, Links: s.Links, Revision: s.Revision, StoreReachable: d.storeReachable(),
 	}
+	g.SeparatedPairs, g.ObservedPairs = len(s.SeparatedPairs), s.ObservedPairs
 	report := d.tableReport()
 	g.UnappliedValues, g.TableRejected = report.unapplied, report.rejected != ""
 	for _, w := range s.Workers {
--- a/internal/entryd/operator.go
+++ b/internal/entryd/operator.go
@@ -31,10 +31,22 @@
 			UnappliedValues: uint32(report.unapplied), Unapplied: encodeUnapplied(report.listed), RejectedTable: report.rejected,
 		},
 		Workers: encodeWorkers(snapshot.Workers), Accounts: encodeAccounts(snapshot.Accounts),
-		Peers: encodePeers(snapshot),
+		Peers: encodePeers(snapshot), SeparatedPairs: encodePairs(snapshot.SeparatedPairs),
 	}), nil
 }
 
+func encodePairs(pairs []entry.SeparatedPair) []*pb.SeparatedPair {
+	out := make([]*pb.SeparatedPair, len(pairs))
+	for i, p := range pairs {
+		out[i] = &pb.SeparatedPair{
+			Service: p.Service, JobType: p.JobType, Neighbour: p.Neighbour, Slowdown: p.Slowdown, SlowdownLow: p.Low, Runs: uint32(p.Runs),
+			JobTypeLow: p.JobTypeWorkers.Low, JobTypeHigh: p.JobTypeWorkers.High,
+			NeighbourLow: p.NeighbourWorkers.Low, NeighbourHigh: p.NeighbourWorkers.High,
+		}
+	}
+	return out
+}
+
 func encodeWorkers(workers []entry.WorkerSnapshot) []*pb.WorkerStatus {
 	out := make([]*pb.WorkerStatus, len(workers))
 	for i, w := range workers {
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -44,6 +44,8 @@
 	JobTypeConfined  = define(2008, "job_type_confined", zap.WarnLevel, "the workers that a job type may use changed, since its tasks crash workers")
 	JobEnding        = define(2010, "job_ending", zap.InfoLevel, "a job's end is decided while tasks of it are outstanding")
 	EntryLoad        = define(2009, "entry_load", zap.InfoLevel, "jobs, messages and delays of the last second")
+	PairSeparated    = define(2021, "job_types_separated", zap.InfoLevel, "whether two job types that slow each other down prefer different workers changed")
+	BesideRejected   = define(2022, "colocation_rejected", zap.WarnLevel, "results had invalid values about what ran beside their tasks")
 	EntryLinked      = define(3001, "entry_linked", zap.InfoLevel, "an entry accepted the link")
 	EntryUnlinked    = define(3002, "entry_unlinked", zap.WarnLevel, "the link to an entry broke or could not be opened")
 	EndpointJoined   = define(3003, "endpoint_joined", zap.InfoLevel, "the endpoint announced itself")
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -54,6 +54,7 @@
 		{"timing.idle_heartbeat", "Longest silence of this entry towards any other agent; not shorter than heartbeat_interval. A worker without tasks that falls silent is noticed later by two of them, or after suspect_after once it gets a task.", &s.Timing.IdleHeartbeat, atLeast(&s.Timing.IdleHeartbeat, &s.Timing.HeartbeatInterval, "timing.heartbeat_interval"), ""},
 		{"timing.ack_delay", "How long an acknowledgement waits for other traffic.", &s.Timing.AckDelay, durationBetween(&s.Timing.AckDelay, 0, 10*time.Second), ""},
 		{"timing.run_limit", "Longest time that an endpoint may take for one task.", &s.Timing.RunLimit, durationBetween(&s.Timing.RunLimit, minDuration, 24*time.Hour), ""},
+		{"placement.separate_job_types", "Learn which job types slow each other down on a leased worker, and prefer different workers for them. No task waits or is refused for it.", &s.Placement.SeparateJobTypes, func() error { return nil }, ""},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,7 @@
 	InsecureNetwork bool          `toml:"insecure_network"`
 	Platform        EntryPlatform `toml:"platform"`
 	Timing          EntryTiming   `toml:"timing"`
+	Placement       Placement     `toml:"placement"`
 	// Source records where each value came from, for errors after loading.
 	Source Source `toml:"-"`
 }
@@ -127,6 +128,12 @@
 	RunLimit          Duration `toml:"run_limit"`
 }
 
+// Placement holds how an entry chooses workers.
+type Placement struct {
+	// SeparateJobTypes prefers different workers for job types that slow each other down.
+	SeparateJobTypes bool `toml:"separate_job_types"`
+}
+
 // AgentTiming holds an agent's timeouts and intervals.
 type AgentTiming struct {
 	ResultKeep        Duration `toml:"result_keep"`
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -22,6 +22,8 @@
 	UnappliedValues int
 	// TableRejected is set while the newest table is not in force.
 	TableRejected bool
+	// SeparatedPairs and ObservedPairs count pairs of job types.
+	SeparatedPairs, ObservedPairs int
 	// MessageDelay is how late the entry reads the messages of its agents.
 	MessageDelay time.Duration
 }
@@ -39,6 +41,8 @@
 		messageDelay:   func(g Gauges) int64 { return g.MessageDelay.Microseconds() },
 		unapplied:      func(g Gauges) int64 { return int64(g.UnappliedValues) },
 		tableRejected:  func(g Gauges) int64 { return boolToInt64(g.TableRejected) },
+		separatedPairs: func(g Gauges) int64 { return int64(g.SeparatedPairs) },
+		observedPairs:  func(g Gauges) int64 { return int64(g.ObservedPairs) },
 		storeReachable: func(g Gauges) int64 { return boolToInt64(g.StoreReachable) },
 	}
 	var instruments []metric.Observable
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -43,6 +43,7 @@
 	workerHealth                      *labelledCounter
 	announceRefusals                  *labelledCounter
 	workerCrashes, jobTypesConfined   *labelledCounter
+	pairChanges, colocationRejected   *labelledCounter
 	endedLate, pauses, cancels        *labelledCounter
 	sent, received                    messageCounters
 	answerTime                        metric.Float64Histogram
@@ -93,6 +94,7 @@
 	m.workerConflicts, m.entryConflicts = m.newCounter(workerConflicts, "", ""), m.newCounter(entryConflicts, "", "")
 	m.announceRefusals = m.newCounter(announceRefusals, "", "")
 	m.workerCrashes, m.jobTypesConfined = m.newCounter(workerCrashes, "", ""), m.newCounter(jobTypesConfined, "", "")
+	m.pairChanges, m.colocationRejected = m.newCounter(pairChanges, "change", separationBegun, separationEnded), m.newCounter(colocationRejected, "", "")
 	m.workerHealth = m.newCounter(workerHealth, "health")
 	for _, h := range verdict.WorkerHealths() {
 		m.workerHealth.add(h.String(), 0)
@@ -164,6 +166,24 @@
 // JobTypeConfined counts a job type whose tasks are confined to a part of the workers.
 func (m *Metrics) JobTypeConfined() { m.jobTypesConfined.add("", 1) }
 
+// Labels of job type separations.
+const (
+	separationBegun = "begun"
+	separationEnded = "ended"
+)
+
+// PairSeparated counts the begin or the end of a separation of two job types.
+func (m *Metrics) PairSeparated(separated bool) {
+	change := separationEnded
+	if separated {
+		change = separationBegun
+	}
+	m.pairChanges.add(change, 1)
+}
+
+// ColocationRejected counts results with invalid values about what ran beside their tasks.
+func (m *Metrics) ColocationRejected(results int) { m.colocationRejected.add("", int64(results)) }
+
 // TaskDispatched counts an attempt sent to an agent.
 func (m *Metrics) TaskDispatched() { m.dispatched.add("", 1) }
 
