Let entries with and without separation share agents in the soak

Half of the entry processes in coretest ask agents for what runs beside their tasks, so that the invariants are checked with the setting on, off and mixed.

--- a/internal/core/coretest/nodes.go
+++ b/internal/core/coretest/nodes.go
@@ -44,6 +44,8 @@
 		StartWindow: 2 * time.Second, SuspectAfter: 3 * time.Second, LostAfter: 10 * time.Second,
 		HeartbeatInterval: time.Second, AckDelay: 100 * time.Millisecond, RunLimit: runLimit,
 		MaxQueued: 10_000, MaxTasks: 1000, MaxPayload: 1 << 10,
+		// Entries with and without the setting share the agents.
+		SeparateJobTypes: e.inc%2 == 0,
 	})
 	e.w.logf("%s starts as %x", e.name, uint64(e.inc))
 	e.step(entry.SetPolicy{Policy: e.w.policy})
