Describe interference, and keep pairs that few runs are left of

The first estimate of a pair needs 100 runs; a separated one with fewer left was dropped within minutes of being found and now fades by its standard error alone.

--- a/internal/core/interference/interference.go
+++ b/internal/core/interference/interference.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// halfLife is the time after which an observation counts half. A pair that just became
+	// halfLife is the time after which an observation counts half. A pair that has just become
 	// certain and gets no further evidence is forgotten after 2.6 half-lives, one with much
-	// evidence whose interference ends after about as long.
+	// evidence later.
 	halfLife = 10 * time.Minute
 	// minEffect is the smallest certain slowdown of a pair that is separated, as a logarithm.
 	// Callers want an answer within 1.6 times the run time, of which 5% for each neighbour is
@@ -34,7 +34,7 @@
 	// minEffect. Thousands of pairs are tested after each job, so that 3 standard errors
 	// occur by chance.
 	certainty, doubt = 5, 2
-	// minRuns is the number of runs compared from which an estimate is used.
+	// minRuns is the number of runs compared from which a pair may be separated.
 	minRuns = 100
 	// resetFactor is what the evidence of the other separated pairs of a job type is
 	// multiplied by when a pair is added.
@@ -366,7 +366,7 @@
 		product -= p.xl * (t.ly + p.el) / t.ll
 	}
 	// Rounding leaves a little where the load explains everything.
-	if p.runs < minRuns || information < 1e-6*p.xx {
+	if information <= 1e-6*p.xx {
 		return 0, math.Inf(1)
 	}
 	return product / information, math.Sqrt(t.noise / information)
@@ -393,7 +393,7 @@
 			p.effect = effect
 			continue
 		}
-		if score := (effect - minEffect) / se; score > bestScore {
+		if score := (effect - minEffect) / se; p.runs >= minRuns && score > bestScore {
 			best, bestName, bestScore = p, b.jobType, score
 		}
 	}
