--- a/internal/core/agent/colocation.go
+++ b/internal/core/agent/colocation.go
@@ -22,7 +22,7 @@
 		for _, a := range c.attempts {
 			a.beside = nil
 		}
-	case asked && c.colocation == nil:
+	case asked && c.colocation == nil && c.endpoint.leased:
 		c.colocation = colocation.New(now)
 		for _, id := range c.runningIDs() {
 			a := c.attempts[id]
@@ -32,7 +32,7 @@
 }
 
 func (c *Core) followStart(now time.Time, a *attempt) {
-	if c.colocation != nil {
+	if c.colocation != nil && c.endpoint.leased {
 		a.beside = c.colocation.Start(now, a.jobType, a.size.Cores)
 	}
 }
--- a/internal/core/entry/separation.go
+++ b/internal/core/entry/separation.go
@@ -115,7 +115,8 @@
 }
 
 // recordColocation records a task's run and, once all tasks of its job have ended, compares
-// them. Until then those that interference slows down are missing.
+// them. Until then those that interference slows down are missing. Of a large job the first
+// tasks are compared: they are chosen whatever their run time.
 func (c *Core) recordColocation(now time.Time, j *job, task int, w *worker, r msg.Result) {
 	s := c.separations
 	if s == nil || r.Kind != msg.ResultOK || !w.hello.Leased() {
@@ -138,7 +139,7 @@
 		return
 	}
 	j.observed.ended++
-	if r.Beside.Known && valid && !w.slowdown.slow() && !w.health.Quarantined() {
+	if task < interference.MaxRuns && r.Beside.Known && valid && !w.slowdown.slow() && !w.health.Quarantined() {
 		j.observed.runs = append(j.observed.runs, service.run(w, t, r))
 	}
 	if j.observed.ended < len(j.tasks) || len(j.observed.runs) < 2 {
