--- a/internal/core/entry/job.go
+++ b/internal/core/entry/job.go
@@ -102,24 +102,14 @@
 }
 
 func (c *Core) submit(now time.Time, spec Job) {
-	spec.Deadline = c.deadline(now, spec)
-	for i := range spec.Tasks {
-		// Multiples of a run time are calculated with.
-		spec.Tasks[i].DeclaredRunTime = min(spec.Tasks[i].DeclaredRunTime, objective.MaxTime)
-	}
+	c.prepare(now, &spec)
 	if answer, refused := c.admit(now, spec); refused {
 		c.emit(Answered{Job: spec.ID, Answer: answer})
 		return
 	}
-	j := &job{spec: spec, tasks: make([]task, len(spec.Tasks)), unfinished: len(spec.Tasks)}
-	j.policy, j.submittedAt = c.policy.Services[spec.Service].JobTypes[spec.JobType], now
-	j.timer = timer{job: j, index: -1}
-	c.setLatestStarts(j)
-	j.confined = c.crashes.Confined(j.typeKey())
+	j := c.newJob(now, spec)
 	if c.knownDeadly(spec) {
-		c.emit(Answered{Job: spec.ID, Answer: Answer{
-			Outcome: Failed, Verdict: verdict.MayHaveRun, Reason: verdict.WorkerCrashed, Message: "workers crashed under a task",
-		}})
+		c.emit(Answered{Job: spec.ID, Answer: deadlyAnswer()})
 		return
 	}
 	if c.arriveHopeless(now, j) {
@@ -127,7 +117,6 @@
 	}
 	c.jobs[spec.ID] = j
 	c.setTimer(&j.timer, j.firstTimeout())
-	j.countSteps()
 	for i := range spec.Tasks {
 		if j.stepReady(spec.Tasks[i].Step) {
 			c.queue.push(j, i)
@@ -136,6 +125,31 @@
 	c.emitProgress(j)
 }
 
+// deadlyAnswer is the answer to a job that was sent before and crashed workers.
+func deadlyAnswer() Answer {
+	return Answer{Outcome: Failed, Verdict: verdict.MayHaveRun, Reason: verdict.WorkerCrashed, Message: "workers crashed under a task"}
+}
+
+// prepare replaces what the job leaves to the table, and bounds its run times.
+func (c *Core) prepare(now time.Time, spec *Job) {
+	spec.Deadline = c.deadline(now, *spec)
+	for i := range spec.Tasks {
+		// Multiples of a run time are calculated with.
+		spec.Tasks[i].DeclaredRunTime = min(spec.Tasks[i].DeclaredRunTime, objective.MaxTime)
+	}
+}
+
+// newJob returns the state of a job that was admitted.
+func (c *Core) newJob(now time.Time, spec Job) *job {
+	j := &job{spec: spec, tasks: make([]task, len(spec.Tasks)), unfinished: len(spec.Tasks)}
+	j.policy, j.submittedAt = c.policy.Services[spec.Service].JobTypes[spec.JobType], now
+	j.timer = timer{job: j, index: -1}
+	c.setLatestStarts(j)
+	j.confined = c.crashes.Confined(j.typeKey())
+	j.countSteps()
+	return j
+}
+
 // deadline returns the caller's deadline or, when it set none, the default of the job
 // type, of the service or of the entry.
 func (c *Core) deadline(now time.Time, spec Job) time.Time {
@@ -216,7 +230,7 @@
 			return refuse(verdict.PayloadTooLarge, 0, "task %d has a payload of %d bytes, at most %d are allowed", i, len(t.Payload), maxPayload)
 		}
 	}
-	queued := c.queue.account(spec.Service, spec.Account).tasks
+	queued := c.queue.queuedIn(spec.Service, spec.Account)
 	if account.MaxQueued > 0 && queued+len(spec.Tasks) > account.MaxQueued {
 		return refuse(verdict.OverQuota, retryAfterUnavailable, "client account %q may queue %d tasks", spec.Account, account.MaxQueued)
 	}
--- a/internal/core/entry/overload.go
+++ b/internal/core/entry/overload.go
@@ -78,14 +78,18 @@
 		flow.Arrived(now, j.cores(), j.policy.objective(j.spec).Longest)
 	}
 	if hopeless {
-		c.emit(Answered{Job: j.spec.ID, Answer: Answer{
-			Outcome: Refused, Verdict: verdict.NotRun, Reason: verdict.WouldMissDeadline,
-			Message: "no worker is expected to have room in time", RetryAfter: c.retryAfterRoom(now, j.spec.Service),
-		}})
+		c.emit(Answered{Job: j.spec.ID, Answer: hopelessAnswer(c.retryAfterRoom(now, j.spec.Service))})
 	}
 	return hopeless
 }
 
+func hopelessAnswer(retryAfter time.Duration) Answer {
+	return Answer{
+		Outcome: Refused, Verdict: verdict.NotRun, Reason: verdict.WouldMissDeadline,
+		Message: "no worker is expected to have room in time", RetryAfter: retryAfter,
+	}
+}
+
 // firstTimeout returns when the job's timer first fires.
 func (j *job) firstTimeout() time.Time {
 	if j.latestStart.IsZero() || j.spec.Deadline.Before(j.latestStart) {
@@ -159,7 +163,7 @@
 	if j.confined {
 		return !c.cellInUse(j.spec.Service)
 	}
-	s := c.queue.services[j.spec.Service]
+	s := c.queue.service(j.spec.Service)
 	if s.flow.Wait(s.coresAhead(j)) <= j.latestStart.Sub(now) {
 		return false
 	}
@@ -169,7 +173,7 @@
 // lateWait returns the time until the last task of the job finds room behind the jobs that
 // are in time.
 func (c *Core) lateWait(now time.Time, j *job) time.Duration {
-	s := c.queue.services[j.spec.Service]
+	s := c.queue.service(j.spec.Service)
 	return s.flow.WaitBehind(now, s.coresAhead(j)+j.cores())
 }
 
@@ -192,13 +196,18 @@
 // retryAfterRoom returns when a refused caller may come back: once the backlog is expected
 // to be gone. Callers that are refused together come back over as long a time again.
 func (c *Core) retryAfterRoom(now time.Time, service string) time.Duration {
-	s := c.queue.services[service]
+	wait := c.roomWait(now, service)
+	return wait + time.Duration(c.rng.Int64N(int64(wait)))
+}
+
+// roomWait returns the least time after which a refused caller may come back.
+func (c *Core) roomWait(now time.Time, service string) time.Duration {
+	s := c.queue.service(service)
 	backlog := 0.0
 	for _, a := range s.accounts {
 		for _, j := range a.jobs {
 			backlog += j.queuedCores()
 		}
 	}
-	wait := min(max(s.flow.WaitBehind(now, backlog), minRetryAfter), maxRetryAfter)
-	return wait + time.Duration(c.rng.Int64N(int64(wait)))
+	return min(max(s.flow.WaitBehind(now, backlog), minRetryAfter), maxRetryAfter)
 }
--- a/internal/core/entry/pass.go
+++ b/internal/core/entry/pass.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
 // Under overload jobs keep coming while the workers are full, so that every message from
@@ -25,6 +26,8 @@
 	lateCores, placedCores float64
 	// maxFree is an upper bound of the free cores of any worker in the list.
 	maxFree float64
+	// leaveOutSlow is set unless too many workers are slow.
+	leaveOutSlow bool
 	// examined counts the workers examined for a task, once for each task.
 	examined int
 }
@@ -45,9 +48,9 @@
 		p.totalCores += w.hello.Size.Cores
 		p.freeCores += w.room.Cores
 	}
-	leaveOutSlow := slow <= max(1, usable/slowDivisor)
+	p.leaveOutSlow = slow <= max(1, usable/slowDivisor)
 	for _, w := range c.workers.list {
-		if !w.usable() || !w.hello.Leased() || w.hello.Service != service || !w.eligible(now) || leaveOutSlow && w.excludedAsSlow(now) {
+		if !w.hello.Leased() || w.hello.Service != service || w.rule(now, p.leaveOutSlow) != 0 {
 			continue
 		}
 		p.workers = append(p.workers, w)
@@ -56,6 +59,23 @@
 	return p
 }
 
+// rule returns the rule by which the worker gets no task, or zero.
+func (w *worker) rule(now time.Time, leaveOutSlow bool) verdict.PlacementRule {
+	switch {
+	case !w.linked():
+		return verdict.WorkerUnlinked
+	case w.state == workerLeaving:
+		return verdict.WorkerGoing
+	case w.state != workerUp:
+		return verdict.WorkerSilent
+	case !w.usable():
+		return verdict.NoRoom
+	case !w.eligible(now), w.hello.Leased() && leaveOutSlow && w.excludedAsSlow(now):
+		return verdict.WorkerOnTrial
+	}
+	return 0
+}
+
 // placed records that a worker got a task. A worker on trial gets no other.
 func (p *pass) placed(w *worker, cores float64) {
 	p.freeCores -= cores
@@ -66,6 +86,11 @@
 	}
 }
 
+// reserve sets the cores that late jobs may take.
+func (p *pass) reserve(s *serviceQueue) {
+	p.lateCores = p.freeCores - s.flow.Reserve(p.totalCores-p.freeCores)
+}
+
 // lowerMaxFree recomputes the bound after no worker in the list could take a task.
 func (p *pass) lowerMaxFree() {
 	p.maxFree = 0
@@ -85,7 +110,7 @@
 // find room.
 func (c *Core) dispatchService(now time.Time, name string, s *serviceQueue) {
 	s.pass = c.newPass(now, name)
-	s.pass.lateCores = s.pass.freeCores - s.flow.Reserve(s.pass.totalCores-s.pass.freeCores)
+	s.pass.reserve(s)
 	c.placeQueued(now, s)
 	s.flow.Pass(now, s.pass.placedCores, s.inTimeWaiting())
 }
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
 // This file chooses the leased worker for a task: the one with the best score among those
@@ -26,7 +27,7 @@
 // pickLeased returns the leased worker for a task, or nil.
 func (c *Core) pickLeased(p *pass, j *job, task int) *worker {
 	size, step := j.spec.Tasks[task].DeclaredSize, j.step(task)
-	if p.tooLarge(j) || p.freeCores-size.Cores < c.reservedCores(p, j) || j.late && j.queuedCores() > p.lateCores {
+	if c.waitRule(p, j, size) != 0 {
 		return nil
 	}
 	var best *worker
@@ -34,13 +35,10 @@
 	p.examined += len(p.workers)
 	preferred, separated := c.preferredWorkers(j)
 	for _, w := range p.workers {
-		if !w.fits(size) || !w.allowed(j, task, step) || !w.mayTake(p, j, task, step) || !c.crashRulesAllow(w, j, task, step) {
+		if c.taskRule(p, w, j, task, step) != 0 {
 			continue
 		}
-		score := w.score(j, task, step) - w.cellScore(j)
-		if separated && !preferred.Contains(w.separationRank) {
-			score -= separationScore
-		}
+		score := w.score(j, step, separated && !preferred.Contains(w.separationRank)).total()
 		switch {
 		case best == nil || score > bestScore:
 			best, bestScore, ties = w, score, 1
@@ -57,12 +55,33 @@
 	return best
 }
 
-// allowed reports whether the step's constraints let the task run at the worker.
-func (w *worker) allowed(j *job, task int, step Step) bool {
-	if !w.hasRequiredLabel(step) {
-		return false
+// waitRule returns the rule by which the job's next task waits whatever the workers, or zero.
+func (c *Core) waitRule(p *pass, j *job, size msg.Size) verdict.PlacementRule {
+	switch {
+	case p.tooLarge(j):
+		return verdict.NoRoom
+	case p.freeCores-size.Cores < c.reservedCores(p, j), j.late && j.queuedCores() > p.lateCores:
+		return verdict.ReservedRoom
 	}
-	return step.MaxPerWorker == 0 || j.runningAt(w, j.spec.Tasks[task].Step) < step.MaxPerWorker
+	return 0
+}
+
+// taskRule returns the rule by which the task does not start at a worker that may get tasks,
+// or zero.
+func (c *Core) taskRule(p *pass, w *worker, j *job, task int, step Step) verdict.PlacementRule {
+	switch {
+	case !w.fits(j.spec.Tasks[task].DeclaredSize):
+		return verdict.NoRoom
+	case !w.hasRequiredLabel(step):
+		return verdict.MissingLabel
+	case step.MaxPerWorker != 0 && j.runningAt(w, j.spec.Tasks[task].Step) >= step.MaxPerWorker:
+		return verdict.StepLimit
+	case !w.mayTake(p, j, task, step):
+		return verdict.FailedThere
+	case !c.crashRulesAllow(w, j, task, step):
+		return verdict.CrashRules
+	}
+	return 0
 }
 
 func (w *worker) hasRequiredLabel(step Step) bool {
@@ -80,18 +99,34 @@
 	remotePenalty = 0.25
 )
 
+// Score holds what a worker is worth for a task. The worker with the largest sum of Room and
+// Affinity less the others gets it.
+type Score struct {
+	// Room is the free part of the worker's cores, Affinity is set near the task's data.
+	Room, Affinity float64
+	// Slowdown, Remote, Failing, Cell and Separation are subtracted.
+	Slowdown, Remote, Failing, Cell, Separation float64
+}
+
+func (s Score) total() float64 {
+	return -s.Slowdown - s.Remote + s.Room + s.Affinity - s.Failing - s.Cell - s.Separation
+}
+
 // score prefers workers near the data, then fast ones with a large part of their
 // cores free.
-func (w *worker) score(j *job, task int, step Step) float64 {
-	score := -w.slowdownPenalty()
+func (w *worker) score(j *job, step Step, separated bool) Score {
+	s := Score{Slowdown: w.slowdownPenalty(), Failing: failingPenalty * w.health.FailingShare(), Cell: w.cellScore(j)}
 	if w.remote {
-		score -= remotePenalty
+		s.Remote = remotePenalty
 	}
 	if w.hello.Size.Cores > 0 {
-		score += w.room.Cores / w.hello.Size.Cores
+		s.Room = w.room.Cores / w.hello.Size.Cores
 	}
 	if step.Affinity != "" && w.hasLabel(step.Affinity) {
-		score += affinityScore
+		s.Affinity = affinityScore
+	}
+	if separated {
+		s.Separation = separationScore
 	}
-	return score - failingPenalty*w.health.FailingShare()
+	return s
 }
--- a/internal/core/entry/queue.go
+++ b/internal/core/entry/queue.go
@@ -97,6 +97,24 @@
 	return a
 }
 
+// service returns the queue of a service, which is empty if it has none.
+func (q *queue) service(name string) *serviceQueue {
+	if s, ok := q.services[name]; ok {
+		return s
+	}
+	return &serviceQueue{}
+}
+
+// queuedIn returns the number of an account's queued tasks in a service.
+func (q *queue) queuedIn(service, account string) int {
+	for _, a := range q.service(service).accounts {
+		if a.account == account {
+			return a.tasks
+		}
+	}
+	return 0
+}
+
 // push queues a task of an open job. It refuses a task of any other job, which would be
 // dispatched after the job's end was decided.
 func (q *queue) push(j *job, task int) {
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -255,7 +255,7 @@
 	var best *worker
 	ties := 0
 	for _, w := range s.list {
-		if !w.usable() || w.hello.Leased() || w.hello.Service != service || !w.eligible(now) {
+		if w.hello.Leased() || w.hello.Service != service || w.rule(now, false) != 0 {
 			continue
 		}
 		switch {
--- a/internal/core/limits/ledger.go
+++ b/internal/core/limits/ledger.go
@@ -59,6 +59,12 @@
 	return u
 }
 
+// MayStart reports whether one more attempt of the account stays within its allotment.
+func (l *Ledger) MayStart(account string) bool {
+	u, ok := l.accounts[account]
+	return !ok || u.MayStart()
+}
+
 // Allot replaces all allotments. Accounts that are not in the map have no limit.
 // Attempts above a lowered allotment keep running.
 func (l *Ledger) Allot(allotted map[string]int) {
--- /dev/null
+++ b/internal/core/verdict/placement.go
@@ -0,0 +1,56 @@
+package verdict
+
+// PlacementRule says why a task does not start at a worker, or at none, for now.
+type PlacementRule uint8
+
+const (
+	// WorkerUnlinked means that the worker's agent has no link to the entry.
+	WorkerUnlinked PlacementRule = iota + 1
+	// WorkerSilent means that the worker's agent was not heard for too long.
+	WorkerSilent
+	// WorkerGoing means that the worker accepts no new tasks.
+	WorkerGoing
+	// WorkerOnTrial means that the worker is failing or slow and no trial task is due.
+	WorkerOnTrial
+	// NoRoom means that the worker, or each of them, lacks free capacity for the task.
+	NoRoom
+	// MissingLabel means that the worker lacks the label that the step requires.
+	MissingLabel
+	// StepLimit means that the worker runs as many tasks of the step as may run there.
+	StepLimit
+	// FailedThere means that the task's earlier attempt failed there, or that the worker is on
+	// trial and the task has failed before.
+	FailedThere
+	// CrashRules means that the task or its job type may not run there after crashes.
+	CrashRules
+	// AccountLimit means that the client account runs as many tasks as it may.
+	AccountLimit
+	// ReservedRoom means that the free capacity is reserved for more urgent jobs.
+	ReservedRoom
+	// BehindOthers means that tasks that come first have to wait.
+	BehindOthers
+
+	placementRuleEnd
+)
+
+var placementRuleNames = [placementRuleEnd]string{
+	"", "worker_unlinked", "worker_silent", "worker_going", "worker_on_trial", "no_room", "missing_label", "step_limit",
+	"failed_there", "crash_rules", "account_limit", "reserved_room", "behind_others",
+}
+
+// String returns the name that operators see, which is empty for the zero value.
+func (r PlacementRule) String() string {
+	if r < placementRuleEnd {
+		return placementRuleNames[r]
+	}
+	return "unspecified"
+}
+
+// PlacementRules returns all values in order of declaration.
+func PlacementRules() []PlacementRule {
+	var all []PlacementRule
+	for r := PlacementRule(1); r < placementRuleEnd; r++ {
+		all = append(all, r)
+	}
+	return all
+}
