Add the command explain

Asks entries what they would do with a job now, as text or JSON: the route and table revision, admission with the range of Retry-After, and for each worker the rule that excludes it or its score by component. The Operator service limits a request to the size of a job.

--- a/internal/command/help.go
+++ b/internal/command/help.go
@@ -44,6 +44,17 @@
   poplarlever status --ca ca.pem --entry 10.1.0.5:7000
   poplarlever status --json`
 
+const explainDescription = `Shows whether each entry would admit the job now, and why its first task would
+start at one worker and not at the others. Nothing is sent to workers. The job is
+a file as for submit, or flags; flags override the file. Exit codes: 0 would
+start now, 1 would wait, 2 wrong usage, 3 would be refused, 4 an entry did not
+answer; of several entries the largest.
+
+Examples:
+  poplarlever explain --entry 127.0.0.1:7000 examples/atlas-job.json
+  poplarlever explain --service route-desk --job-type pricing --account atlas --tasks 8 --cores 4 --run-time 50ms
+  poplarlever explain --host routes.atlas.example --path /price --json`
+
 const submitDescription = `Sends each job and prints its answer. Exit codes: 0 complete, 1 failed, 2 wrong
 usage, 3 refused (did not run), 4 unknown (may have run). Ctrl-C cancels tasks
 that have not started; a second one aborts the wait.
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -64,7 +64,7 @@
 		Usage:                 "dispatch sub-second tasks from callers to endpoints",
 		EnableShellCompletion: true,
 		Commands: []*cli.Command{
-			entryCommand(), agentCommand(), devCommand(), submitCommand(), statusCommand(), tableCommand(),
+			entryCommand(), agentCommand(), devCommand(), submitCommand(), statusCommand(), explainCommand(), tableCommand(),
 			settingsCommand(), benchCommand(), soakCommand(), versionCommand(), fakeEndpointCommand(), fakeStoreCommand(),
 		},
 		Description: rootDescription,
--- a/internal/core/verdict/glossary_test.go
+++ b/internal/core/verdict/glossary_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"regexp"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -30,3 +31,24 @@
 	}
 	c.Check(listed, qt.DeepEquals, defined)
 }
+
+var ruleRow = regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\| [^|]+ \\|$")
+
+// Guards against a placement rule that is missing from the glossary or listed after its
+// removal.
+func TestGlossaryListsEveryPlacementRule(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../../docs/GLOSSARY.md")
+	c.Assert(err, qt.IsNil)
+	_, section, found := strings.Cut(string(page), "## Placement rules")
+	c.Assert(found, qt.IsTrue)
+	section, _, _ = strings.Cut(section, "\n## ")
+	var listed, defined []string
+	for _, m := range ruleRow.FindAllStringSubmatch(section, -1) {
+		listed = append(listed, m[1])
+	}
+	for _, r := range verdict.PlacementRules() {
+		defined = append(defined, r.String())
+	}
+	c.Check(listed, qt.DeepEquals, defined)
+}
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/zap"
 
 	"github.com/poplarlever/poplarlever/internal/core/entry"
@@ -70,7 +71,7 @@
 	server.Handle(dispatchPath, d.admission)
 	d.links = &linkService{loop: d.loop, log: log, owners: newWorkerOwners()}
 	server.Handle(poplarleverv1connect.NewLinkHandler(d.links, withoutCompression))
-	server.Handle(poplarleverv1connect.NewOperatorHandler(&operatorService{daemon: d}))
+	server.Handle(poplarleverv1connect.NewOperatorHandler(&operatorService{daemon: d}, connect.WithReadMaxBytes(int(o.limits.MaxBody))))
 	if m := o.metrics; m != nil {
 		d.metricsErr = m.Observe(d.readGauges)
 		server.Handle("GET /metrics", m.Handler())
--- a/internal/entryd/runner.go
+++ b/internal/entryd/runner.go
@@ -24,11 +24,10 @@
 // it cancels what has not started and still waits for the answer, because only that
 // tells what ran. report may be nil.
 func (r *runner) run(ctx context.Context, req *pb.SubmitRequest, report func(entry.Progress) error) entry.Answer {
-	job, refusal := decodeJob(req, time.Now(), r.jobTimeout)
+	job, refusal := r.decode(req)
 	if refusal != nil {
 		return *refusal
 	}
-	job.Deadline = clock.Now().Add(time.Until(job.Deadline))
 	job.ID = r.lastJobID.Add(1)
 	name := jobName{req.GetAccount(), req.GetJobId()}
 	if r.names.reserve(name, job.ID) != nil {
@@ -39,6 +38,15 @@
 	return answer
 }
 
+// decode converts a request into a job whose deadline is on the core's clock.
+func (r *runner) decode(req *pb.SubmitRequest) (entry.Job, *entry.Answer) {
+	job, refusal := decodeJob(req, time.Now(), r.jobTimeout)
+	if refusal == nil {
+		job.Deadline = clock.Now().Add(time.Until(job.Deadline))
+	}
+	return job, refusal
+}
+
 // submit passes the job to the core and waits for its answer. A job is not started for a
 // caller that has gone: while this process was paused, it may have sent the job elsewhere.
 func (r *runner) submit(ctx context.Context, name jobName, job entry.Job, report func(entry.Progress) error) entry.Answer {
--- a/proto/poplarlever/v1/poplarleverv1connect/operator.connect.go
+++ b/proto/poplarlever/v1/poplarleverv1connect/operator.connect.go
@@ -35,12 +35,16 @@
 const (
 	// OperatorStatusProcedure is the fully-qualified name of the Operator's Status RPC.
 	OperatorStatusProcedure = "/poplarlever.v1.Operator/Status"
+	// OperatorExplainProcedure is the fully-qualified name of the Operator's Explain RPC.
+	OperatorExplainProcedure = "/poplarlever.v1.Operator/Explain"
 )
 
 // OperatorClient is a client for the poplarlever.v1.Operator service.
 type OperatorClient interface {
 	// Status returns the state of the entry and of the workers that it knows.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Explain returns what the entry would do with a job now. It starts nothing.
+	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 }
 
 // NewOperatorClient constructs a client for the poplarlever.v1.Operator service. By default, it
@@ -60,12 +64,19 @@
 			connect.WithSchema(operatorMethods.ByName("Status")),
 			connect.WithClientOptions(opts...),
 		),
+		explain: connect.NewClient[v1.ExplainRequest, v1.ExplainResponse](
+			httpClient,
+			baseURL+OperatorExplainProcedure,
+			connect.WithSchema(operatorMethods.ByName("Explain")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // operatorClient implements OperatorClient.
 type operatorClient struct {
-	status *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	status  *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	explain *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
 }
 
 // Status calls poplarlever.v1.Operator.Status.
@@ -73,10 +84,17 @@
 	return c.status.CallUnary(ctx, req)
 }
 
+// Explain calls poplarlever.v1.Operator.Explain.
+func (c *operatorClient) Explain(ctx context.Context, req *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
+	return c.explain.CallUnary(ctx, req)
+}
+
 // OperatorHandler is an implementation of the poplarlever.v1.Operator service.
 type OperatorHandler interface {
 	// Status returns the state of the entry and of the workers that it knows.
 	Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error)
+	// Explain returns what the entry would do with a job now. It starts nothing.
+	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 }
 
 // NewOperatorHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -92,10 +110,18 @@
 		connect.WithSchema(operatorMethods.ByName("Status")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorExplainHandler := connect.NewUnaryHandler(
+		OperatorExplainProcedure,
+		svc.Explain,
+		connect.WithSchema(operatorMethods.ByName("Explain")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/poplarlever.v1.Operator/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorStatusProcedure:
 			operatorStatusHandler.ServeHTTP(w, r)
+		case OperatorExplainProcedure:
+			operatorExplainHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -108,3 +134,7 @@
 func (UnimplementedOperatorHandler) Status(context.Context, *connect.Request[v1.StatusRequest]) (*connect.Response[v1.StatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("poplarlever.v1.Operator.Status is not implemented"))
 }
+
+func (UnimplementedOperatorHandler) Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("poplarlever.v1.Operator.Explain is not implemented"))
+}
