--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -238,13 +238,13 @@
 	if len(r.GetWorkers()) == 0 {
 		return
 	}
-	fmt.Fprintln(w, "WORKER\tDOMAIN\tRULE\tSCORE\tROOM\tAFFINITY\tSLOWDOWN\tREMOTE\tFAILING\tCELL\tSEPARATION")
+	fmt.Fprintln(w, "WORKER\tDOMAIN\tRULE\tSCORE\tROOM\tAFFINITY\tSLOWDOWN\tREMOTE\tFAILING\tCELL\tEXPECTED END\tSEPARATION")
 	for _, k := range r.GetWorkers() {
 		rule := k.GetRule()
 		if rule == "" {
 			rule = "-"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%.3f\t%.3f\t%+.3f\t%+.3f\t%+.3f\t%+.3f\t%+.3f\t%+.3f\n", k.GetName(), k.GetFailureDomain(), rule, k.GetScore(), k.GetRoom(),
-			k.GetAffinity(), 0-k.GetSlowdown(), 0-k.GetRemote(), 0-k.GetFailing(), 0-k.GetCell(), 0-k.GetSeparation())
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.3f\t%.3f\t%+.3f\t%+.3f\t%+.3f\t%+.3f\t%+.3f\t%+.3f\t%+.3f\n", k.GetName(), k.GetFailureDomain(), rule, k.GetScore(), k.GetRoom(),
+			k.GetAffinity(), 0-k.GetSlowdown(), 0-k.GetRemote(), 0-k.GetFailing(), 0-k.GetCell(), 0-k.GetExpectedEnd(), 0-k.GetSeparation())
 	}
 }
--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -79,16 +79,17 @@
 		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration,
 		AckDelay:      s.Timing.AckDelay.Duration, RunLimit: s.Timing.RunLimit.Duration,
 		MaxQueued: s.Limits.MaxQueued, MaxTasks: s.Limits.MaxTasks, MaxPayload: s.Limits.MaxPayload.N,
-		SeparateJobTypes: s.Placement.SeparateJobTypes,
+		LearnSpeeds: s.Placement.LearnSpeeds, SeparateJobTypes: s.Placement.SeparateJobTypes, ShedByJobType: s.Admission.ShedByJobType,
 	}
 }
 
 func agentConfig(s settings.Agent, incarnation msg.Incarnation, clockEpoch epoch) agent.Config {
 	return agent.Config{
 		Worker: s.Worker, FailureDomain: s.FailureDomain, Incarnation: incarnation, Epoch: time.Time(clockEpoch),
-		ReleaseAfter: lease.ReleaseAfter(lease.Config{}),
-		ResultKeep:   s.Timing.ResultKeep.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
+		ReleaseAfter: lease.ReleaseAfter(lease.Config{}), DetectStalls: s.DetectStalls,
+		ResultKeep: s.Timing.ResultKeep.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
 		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration, EntrySilence: s.Timing.EntrySilence.Duration,
+		Evacuations: s.Evacuations,
 	}
 }
 
@@ -122,9 +123,13 @@
 		d.SetPolicy(policy)
 		return d, err
 	}
+	var storeOptions []platform.StoreOption
+	if s.Evacuations {
+		storeOptions = append(storeOptions, platform.WithEvacuations())
+	}
 	joinPlatform(d, s.Name, incarnation, platformOptions{
-		store: storeClient(s.Store), peers: s.Peers, advertise: s.Advertise, failureDomain: s.FailureDomain,
-		tls: t.Client,
+		store: storeClient(s.Store, storeOptions...), peers: s.Peers, advertise: s.Advertise, failureDomain: s.FailureDomain,
+		tls: t.Client, evacuations: s.Evacuations, metrics: m,
 	}, log)
 	return d, attachPlatform(d, s)
 }
--- a/internal/command/statusprint.go
+++ b/internal/command/statusprint.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -48,10 +49,10 @@
 	for _, r := range reports {
 		printEntry(tab, r)
 	}
-	fmt.Fprintln(tab, "\nWORKER\tDOMAIN\tSERVICE\tSTATE\tREVISION\tSLOTS\tRUNNING\tENTRIES")
+	fmt.Fprintln(tab, "\nWORKER\tDOMAIN\tSERVICE\tSTATE\tREVISION\tSLOTS\tRUNNING\tENTRIES\tSPEED")
 	for _, worker := range mergeWorkers(reports) {
-		fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", worker.Name, worker.FailureDomain, worker.Service,
-			worker.State, worker.Revision, worker.Slots, worker.Outstanding, worker.entries)
+		fmt.Fprintf(tab, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\n", worker.Name, worker.FailureDomain, worker.Service,
+			worker.State, worker.Revision, worker.Slots, worker.Outstanding, worker.entries, speedOf(worker.WorkerStatus))
 	}
 	fmt.Fprintln(tab, "\nACCOUNT\tQUEUED\tRUNNING\tSHARE\tDUE")
 	accounts, running := mergeAccounts(reports)
@@ -59,6 +60,7 @@
 		fmt.Fprintf(tab, "%s\t%d\t%d\t%s\t%s\n", a.Account, a.QueuedTasks, a.RunningTasks,
 			percent(float64(a.RunningTasks)/max(1, float64(running))), percent(a.DueShare))
 	}
+	printEvacuated(tab, reports)
 	printSeparated(tab, reports)
 	printUnapplied(tab, reports)
 	return tab.Flush()
@@ -83,6 +85,43 @@
 // interval returns a part of the order of workers, such as "0-38%".
 func interval(low, high float64) string { return fmt.Sprintf("%.0f-%.0f%%", 100*low, 100*high) }
 
+// printEvacuated prints a line for each failure domain whose evacuation is in force at one of
+// the entries: at how many, and the largest number of workers there that one of them knows.
+func printEvacuated(w io.Writer, reports []entryReport) {
+	type row struct {
+		*pb.EvacuatedDomain
+		entries int
+	}
+	rows := make(map[string]*row)
+	answered := 0
+	for _, r := range reports {
+		if r.err == nil {
+			answered++
+		}
+		for _, d := range r.status.GetEntry().GetEvacuated() {
+			merged := rows[d.GetDomain()]
+			if merged == nil {
+				merged = &row{EvacuatedDomain: d}
+				rows[d.GetDomain()] = merged
+			}
+			merged.entries++
+			merged.Version, merged.Workers = max(merged.Version, d.GetVersion()), max(merged.Workers, d.GetWorkers())
+		}
+	}
+	if len(rows) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nEVACUATED\tVERSION\tENTRIES\tWORKERS")
+	for _, name := range slices.Sorted(maps.Keys(rows)) {
+		r := rows[name]
+		workers := fmt.Sprint(r.Workers)
+		if r.Workers == 0 {
+			workers = "none known"
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d of %d\t%s\n", name, r.Version, r.entries, answered, workers)
+	}
+}
+
 // printUnapplied prints what of the newest table is not in force, if there is anything.
 func printUnapplied(w io.Writer, reports []entryReport) {
 	for _, r := range reports {
@@ -119,6 +158,15 @@
 		e.GetUptime().AsDuration().Round(time.Second))
 }
 
+// speedOf returns a worker's speed relative to the mean of its service, with its
+// uncertainty.
+func speedOf(w *pb.WorkerStatus) string {
+	if w.GetSpeed() == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f ±%s", w.GetSpeed(), percent(w.GetSpeedUncertainty()))
+}
+
 func percent(part float64) string { return fmt.Sprintf("%.0f%%", 100*part) }
 
 // mergedWorker combines the statuses of a worker from all queried entries.
@@ -128,8 +176,8 @@
 }
 
 // mergeWorkers combines the reports by worker and sorts them by name. Outstanding
-// tasks are added up, the revision is the lowest one, and the state is that of an
-// entry that does not see the worker up, if there is one.
+// tasks are added up, the revision is the lowest one, the state is that of an entry that
+// does not see the worker up, if there is one, and the speed is the least uncertain one.
 func mergeWorkers(reports []entryReport) []mergedWorker {
 	var merged []mergedWorker
 	index := make(map[string]int)
@@ -145,6 +193,9 @@
 			m.entries++
 			m.Outstanding += w.Outstanding
 			m.Revision = min(m.Revision, w.Revision)
+			if w.Speed > 0 && (m.Speed == 0 || w.SpeedUncertainty < m.SpeedUncertainty) {
+				m.Speed, m.SpeedUncertainty = w.Speed, w.SpeedUncertainty
+			}
 			if w.State != "up" {
 				m.State = w.State
 			}
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/colocation"
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/invariant"
 )
@@ -42,8 +43,13 @@
 	// ReleaseAfter is the age of the newest agent clock that an entry has echoed at which
 	// none of its tasks under a lease runs any more, even if they could not be stopped.
 	ReleaseAfter time.Duration
+	// DetectStalls lets the agent notice that the tasks of a leased worker make no progress.
+	DetectStalls bool
 	// Epoch is the zero of the agent's clock, on which Dispatch.StartBy is given.
 	Epoch time.Time
+	// Evacuations makes the agent refuse dispatches while entries say that its failure
+	// domain is evacuated.
+	Evacuations bool
 }
 
 // defaultEntrySilence equals the entry's own limit for a silent worker, so that
@@ -86,10 +92,12 @@
 	grantBudget float64
 	revision    uint64
 	outcomes    outcomeCounter
+	stall       stallState
 	crashes     crashLog
 	// colocation is nil while no entry asks for it.
-	colocation *colocation.Tracker
-	out        []Output
+	colocation  *colocation.Tracker
+	evacuations evacuation.State
+	out         []Output
 }
 
 // New returns a core with no endpoint and no links.
@@ -199,6 +207,7 @@
 	c.expire(now)
 	c.closeSilentLinks(now)
 	c.stopOrphans(now)
+	c.checkStall(now)
 	c.closeDrainedLinks(now)
 	c.startWaiting(now)
 	for _, e := range c.entries.linked {
@@ -223,8 +232,8 @@
 func (c *Core) report(e *entryState) msg.Slots {
 	c.balanceGrants()
 	c.lastReport++
-	e.reportedRoom = c.Room()
-	return msg.Slots{Room: e.reportedRoom,
+	e.reportedRoom = c.roomFor(e)
+	return msg.Slots{Room: e.reportedRoom, Stalled: c.stall.detector.Stalled(),
 		Free: e.granted, Spare: max(0, c.Free()-e.granted-c.reservedForOthers(e)), Covers: e.lastSeq, Number: c.lastReport,
 		Outcomes: c.outcomes.total,
 	}
@@ -249,6 +258,7 @@
 		Labels:        c.endpoint.labels,
 		Settled:       c.endpoint.settled,
 		Crashes:       c.crashes.unsent(c.now, e),
+		EvacuatedAt:   c.evacuatedAt(),
 	}
 }
 
--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -33,8 +33,9 @@
 	expires time.Time
 	result  msg.Result
 	size    msg.Size
-	// taskName and jobType are those of a task at a leased worker.
+	// taskName and jobType are those of a task at a leased worker, which started at startedAt.
 	taskName, jobType string
+	startedAt         time.Time
 	// beside is set while what runs beside the attempt is followed.
 	beside *colocation.Mark
 	// stopping is set once a StopTask was emitted for the running attempt.
@@ -71,6 +72,8 @@
 		if m.Revision > c.revision {
 			c.emit(ApplyTable(m))
 		}
+	case msg.Evacuations:
+		c.applyEvacuations(now, m.Report)
 	}
 }
 
@@ -118,10 +121,11 @@
 	if e.running++; e.running == 1 {
 		e.busySince = now
 	}
-	a := &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size, taskName: d.TaskName, jobType: d.JobType}
+	a := &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size, taskName: d.TaskName, jobType: d.JobType, startedAt: now}
 	c.attempts[d.Attempt] = a
 	c.followStart(now, a)
 	c.running++
+	c.stall.detector.Started(now)
 	c.used = c.used.Plus(d.Size)
 	c.checkUsage(d.Size)
 	name := msg.EndpointTaskName(c.cfg.Incarnation, d.Attempt)
@@ -162,6 +166,8 @@
 	switch {
 	case d.AgentIncarnation != c.cfg.Incarnation:
 		return verdict.WrongIncarnation
+	case c.Evacuated():
+		return verdict.Evacuated
 	case c.Clock(now) > d.StartBy:
 		return verdict.StartByPassed
 	case c.stopping || e.draining() || !c.endpoint.accepts():
@@ -262,6 +268,7 @@
 	}
 	// Waiting attempts take the room before it is reported.
 	c.startWaiting(now)
+	c.recordProgress(now, a)
 	c.recordOutcome(now, a.result)
 	owner := c.entries.link(in.Attempt.Entry)
 	c.grantFreedSlots(now, owner)
--- a/internal/core/entry/crashes.go
+++ b/internal/core/entry/crashes.go
@@ -35,6 +35,7 @@
 	}
 	// The silence of a worker that crashed says nothing about its speed.
 	w.slowdown = slowdown{}
+	c.renewSpeed(w)
 	c.separations.forgetWorker(w)
 	w.crashed = w.hello.Leaving
 	c.applyConfinement()
@@ -102,7 +103,7 @@
 	members := make(map[string][]*worker)
 	for _, w := range c.workers.list {
 		w.inCell = false
-		if w.hello.Leased() && c.crashes.Confining(w.hello.Service) {
+		if w.hello.Leased() && !w.evacuated && c.crashes.Confining(w.hello.Service) {
 			members[w.hello.Service] = append(members[w.hello.Service], w)
 		}
 	}
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/crashlog"
+	"github.com/poplarlever/poplarlever/internal/core/estimate"
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/limits"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
@@ -54,6 +56,11 @@
 	AckDelay time.Duration
 	// RunLimit is the longest time that an endpoint may take for a task.
 	RunLimit time.Duration
+	// LearnSpeeds lets the core learn run times and workers' speeds, and decide by them.
+	LearnSpeeds bool
+	// ShedByJobType lets jobs give way on arrival while their service is full: those of types
+	// that send more than usual, and of less urgent types.
+	ShedByJobType bool
 	// MaxQueued is the largest number of queued tasks.
 	MaxQueued int
 	// MaxTasks is the largest number of tasks in a job.
@@ -110,12 +117,19 @@
 	// one.
 	revokeTargets []*worker
 	crashes       crashlog.Log
+	// discardedRunTimes counts reported run times that cannot be ones.
+	discardedRunTimes uint64
+	// estimates is nil unless the core learns run times and speeds.
+	estimates *estimate.Estimator
 	// separations is nil unless Config.SeparateJobTypes is set.
 	separations *separations
 	// messageDelay is the mean delay of the latest messages from agents, in seconds.
 	messageDelay float64
 	latestDelay  time.Duration
-	draining     bool
+	evacuations  evacuation.State
+	// evacuating is set while the evacuation of a failure domain is in force.
+	evacuating bool
+	draining   bool
 	// drainUntil is when this process stops; set while draining.
 	drainUntil time.Time
 	out        []Output
@@ -129,14 +143,14 @@
 	cfg.IdleHeartbeat = max(cfg.IdleHeartbeat, cfg.HeartbeatInterval)
 	usage := limits.NewLedger()
 	return &Core{
-		cfg:      cfg,
-		usage:    usage,
-		rng:      rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation))),
-		jobs:     make(map[uint64]*job),
-		attempts: make(map[msg.AttemptID]*attempt),
-		queue:    newQueue(usage),
-		workers:  newWorkerSet(),
-
+		cfg:         cfg,
+		usage:       usage,
+		rng:         rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation))),
+		jobs:        make(map[uint64]*job),
+		attempts:    make(map[msg.AttemptID]*attempt),
+		queue:       newQueue(usage),
+		workers:     newWorkerSet(),
+		estimates:   newEstimates(cfg),
 		separations: newSeparations(cfg.SeparateJobTypes),
 	}
 }
@@ -189,6 +203,8 @@
 		c.applyAllotments()
 	case SetPeers:
 		c.setPeers(in)
+	case SetEvacuations:
+		c.setEvacuations(now, in.Report)
 	case BeginDrain:
 		c.draining, c.drainUntil = true, in.Until
 	case StopNow:
@@ -207,6 +223,8 @@
 	c.fireTimers(now)
 	c.sendPeers(now)
 	c.checkWorkers(now)
+	c.expireEvacuationRefusals(now)
+	c.refuseEvacuated()
 	c.checkOverdue(now)
 	c.checkSeparations(now)
 	c.dispatchQueued(now)
--- a/internal/core/entry/explain.go
+++ b/internal/core/entry/explain.go
@@ -51,18 +51,26 @@
 		return e
 	}
 	j := c.newJob(now, spec)
+	c.previewEstimate(j)
 	e.Priority = j.policy.Priority
 	for i := range spec.Tasks {
 		if j.stepReady(spec.Tasks[i].Step) {
 			j.queuedTasks = append(j.queuedTasks, i)
 		}
 	}
+	// What is decided after the forecast knows of the job is decided by a copy of it.
+	arrived := *c.queue.service(spec.Service)
+	arrived.arrived(now, j)
+	wait := arrived.roomWait(now)
 	switch {
+	case c.allEvacuated(spec.Service):
+		e.refuse(evacuatedAnswer(Refused, minEvacuationRetry), maxEvacuationRetry)
 	case c.knownDeadly(spec):
 		e.refuse(deadlyAnswer(), 0)
 	case c.hopeless(now, j):
-		wait := c.roomWait(now, spec.Service)
 		e.refuse(hopelessAnswer(wait), 2*wait)
+	case c.wouldShed(now, &arrived, j):
+		e.refuse(shedAnswer(wait), 2*wait)
 	}
 	if len(j.queuedTasks) > 0 {
 		c.explainPlacement(now, j, &e)
@@ -124,7 +132,8 @@
 		e.Rule = c.taskRule(p, w, j, task, j.step(task))
 	}
 	preferred, separated := c.preferredWorkers(j)
-	e.Score = w.score(j, j.step(task), separated && !preferred.Contains(w.separationRank))
+	target := c.target(p, j, task)
+	e.Score = c.score(p, w, j, j.step(task), &target, separated && !preferred.Contains(w.separationRank))
 	e.Total = e.Score.total()
 	return e
 }
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/interference"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
@@ -55,6 +56,10 @@
 	Peers []msg.Peer
 }
 
+// SetEvacuations adds what this process knows of evacuated failure domains. Newer states that
+// were set before stay in force.
+type SetEvacuations struct{ Report evacuation.Report }
+
 // BeginDrain makes the core refuse the jobs that cannot be expected to be answered before
 // Until, when the process stops.
 type BeginDrain struct{ Until time.Time }
@@ -62,16 +67,17 @@
 // StopNow fails every job that has no answer.
 type StopNow struct{}
 
-func (Submit) input()        {}
-func (Cancel) input()        {}
-func (LinkUp) input()        {}
-func (LinkDown) input()      {}
-func (Received) input()      {}
-func (SetPolicy) input()     {}
-func (SetAllotments) input() {}
-func (SetPeers) input()      {}
-func (BeginDrain) input()    {}
-func (StopNow) input()       {}
+func (Submit) input()         {}
+func (Cancel) input()         {}
+func (LinkUp) input()         {}
+func (LinkDown) input()       {}
+func (Received) input()       {}
+func (SetPolicy) input()      {}
+func (SetAllotments) input()  {}
+func (SetPeers) input()       {}
+func (SetEvacuations) input() {}
+func (BeginDrain) input()     {}
+func (StopNow) input()        {}
 
 // Job is a job as a caller submits it.
 type Job struct {
@@ -161,6 +167,27 @@
 	Health verdict.WorkerHealth
 }
 
+// WorkerSpeedLearned reports that the speed of a worker is known for the first time. Speed is
+// relative to the mean of the service, Uncertainty the standard deviation of its logarithm.
+type WorkerSpeedLearned struct {
+	Worker             string
+	Speed, Uncertainty float64
+}
+
+// WorkerDegraded reports that a worker has become slower than its learned speed: its latest
+// run took Ratio times as long as expected. WorkerJudged follows.
+type WorkerDegraded struct {
+	Worker       string
+	Speed, Ratio float64
+}
+
+// RunTimeDiscarded reports a run time that cannot be one. Count is the number of them so far.
+type RunTimeDiscarded struct {
+	Worker  string
+	RunTime time.Duration
+	Count   uint64
+}
+
 // AttemptsReleased reports that attempts at a leased worker count as ended without a
 // message from their agent, which was not heard for Silence.
 type AttemptsReleased struct {
@@ -193,6 +220,13 @@
 	Confined         bool
 }
 
+// EvacuationChanged reports that the evacuation of a failure domain has begun or was
+// withdrawn. Workers is the number of known workers there; without any it has no effect.
+type EvacuationChanged struct {
+	evacuation.Domain
+	Workers int
+}
+
 // JobTypesSeparated reports that the tasks of two job types prefer different workers from
 // now on, or no longer do.
 type JobTypesSeparated interference.Pair
@@ -204,18 +238,21 @@
 	Count  int
 }
 
-func (Send) output()             {}
-func (CloseLink) output()        {}
-func (Answered) output()         {}
-func (Progress) output()         {}
-func (Retried) output()          {}
-func (WorkerConflict) output()   {}
-func (WorkerJudged) output()     {}
-func (JobTypeConfined) output()  {}
-func (AttemptsReleased) output() {}
-func (JobEnding) output()        {}
-func (ResultAfterEnd) output()   {}
-
+func (Send) output()               {}
+func (CloseLink) output()          {}
+func (Answered) output()           {}
+func (Progress) output()           {}
+func (Retried) output()            {}
+func (WorkerConflict) output()     {}
+func (WorkerJudged) output()       {}
+func (JobTypeConfined) output()    {}
+func (EvacuationChanged) output()  {}
+func (AttemptsReleased) output()   {}
+func (JobEnding) output()          {}
+func (ResultAfterEnd) output()     {}
+func (WorkerSpeedLearned) output() {}
+func (WorkerDegraded) output()     {}
+func (RunTimeDiscarded) output()   {}
 func (JobTypesSeparated) output()  {}
 func (ColocationRejected) output() {}
 
--- a/internal/core/entry/pass.go
+++ b/internal/core/entry/pass.go
@@ -16,18 +16,19 @@
 
 // pass holds what one pass over a service's queue knows of its leased workers.
 type pass struct {
+	now time.Time
 	// workers lists those that may get a task.
 	workers []*worker
-	// totalCores counts the cores of all usable workers of the service, freeCores those
-	// believed free.
+	// totalCores counts the cores of all usable workers of the service times their speeds,
+	// freeCores those believed free.
 	totalCores, freeCores float64
 	// lateCores counts the free cores that a late job may take; placedCores those that
 	// tasks got in this pass.
 	lateCores, placedCores float64
+	// leaveOutSlow is set if slow workers get trial tasks only.
+	leaveOutSlow bool
 	// maxFree is an upper bound of the free cores of any worker in the list.
 	maxFree float64
-	// leaveOutSlow is set unless too many workers are slow.
-	leaveOutSlow bool
 	// examined counts the workers examined for a task, once for each task.
 	examined int
 }
@@ -35,7 +36,7 @@
 // newPass gathers the leased workers of a service. A quarantined or slow worker is listed
 // when a trial task is due.
 func (c *Core) newPass(now time.Time, service string) pass {
-	p := pass{}
+	p := pass{now: now}
 	usable, slow := 0, 0
 	for _, w := range c.workers.list {
 		if !w.usable() || w.hello.Service != service {
@@ -45,8 +46,11 @@
 		if w.slowdown.slow() {
 			slow++
 		}
-		p.totalCores += w.hello.Size.Cores
-		p.freeCores += w.room.Cores
+		if w.stalled {
+			continue
+		}
+		p.totalCores += w.hello.Size.Cores * w.speed.Speed()
+		p.freeCores += w.room.Cores * w.speed.Speed()
 	}
 	p.leaveOutSlow = slow <= max(1, usable/slowDivisor)
 	for _, w := range c.workers.list {
@@ -68,18 +72,24 @@
 		return verdict.WorkerGoing
 	case w.state != workerUp:
 		return verdict.WorkerSilent
+	case w.evacuated:
+		return verdict.WorkerEvacuated
+	case !w.refusedUntil.IsZero():
+		return verdict.EvacuationReported
 	case !w.usable():
 		return verdict.NoRoom
-	case !w.eligible(now), w.hello.Leased() && leaveOutSlow && w.excludedAsSlow(now):
+	case !w.eligible(now):
 		return verdict.WorkerOnTrial
+	case w.hello.Leased() && leaveOutSlow && w.excludedAsSlow(now):
+		return verdict.WorkerSlow
 	}
 	return 0
 }
 
 // placed records that a worker got a task. A worker on trial gets no other.
 func (p *pass) placed(w *worker, cores float64) {
-	p.freeCores -= cores
-	p.lateCores -= cores
+	p.freeCores -= cores * w.speed.Speed()
+	p.lateCores -= cores * w.speed.Speed()
 	p.placedCores += cores
 	if w.health.Quarantined() || w.slowdown.slow() {
 		p.workers = slices.DeleteFunc(p.workers, func(o *worker) bool { return o == w })
@@ -112,7 +122,11 @@
 	s.pass = c.newPass(now, name)
 	s.pass.reserve(s)
 	c.placeQueued(now, s)
-	s.flow.Pass(now, s.pass.placedCores, s.inTimeWaiting())
+	waiting := s.inTimeWaiting()
+	s.flow.Pass(now, s.pass.placedCores, waiting)
+	if waiting {
+		s.shedder.Waiting(now)
+	}
 }
 
 // placeQueued dispatches queued tasks in order until one has to wait, and then those that
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/poplarlever/poplarlever/internal/core/estimate"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
@@ -34,11 +35,12 @@
 	bestScore, ties := 0.0, 0
 	p.examined += len(p.workers)
 	preferred, separated := c.preferredWorkers(j)
+	target := c.target(p, j, task)
 	for _, w := range p.workers {
 		if c.taskRule(p, w, j, task, step) != 0 {
 			continue
 		}
-		score := w.score(j, step, separated && !preferred.Contains(w.separationRank)).total()
+		score := c.score(p, w, j, step, &target, separated && !preferred.Contains(w.separationRank)).total()
 		switch {
 		case best == nil || score > bestScore:
 			best, bestScore, ties = w, score, 1
@@ -70,6 +72,9 @@
 // or zero.
 func (c *Core) taskRule(p *pass, w *worker, j *job, task int, step Step) verdict.PlacementRule {
 	switch {
+	case w.stalled && !w.fits(j.spec.Tasks[task].DeclaredSize):
+		// The agent reports room only while a trial task is due.
+		return verdict.NoProgress
 	case !w.fits(j.spec.Tasks[task].DeclaredSize):
 		return verdict.NoRoom
 	case !w.hasRequiredLabel(step):
@@ -104,18 +109,22 @@
 type Score struct {
 	// Room is the free part of the worker's cores, Affinity is set near the task's data.
 	Room, Affinity float64
-	// Slowdown, Remote, Failing, Cell and Separation are subtracted.
-	Slowdown, Remote, Failing, Cell, Separation float64
+	// Slowdown, Remote, Failing, Cell, ExpectedEnd and Separation are subtracted. ExpectedEnd
+	// is negative for the trial task of a slow worker.
+	Slowdown, Remote, Failing, Cell, ExpectedEnd, Separation float64
 }
 
 func (s Score) total() float64 {
-	return -s.Slowdown - s.Remote + s.Room + s.Affinity - s.Failing - s.Cell - s.Separation
+	return -s.Slowdown - s.Remote + s.Room + s.Affinity - s.Failing - s.Cell - s.ExpectedEnd - s.Separation
 }
 
-// score prefers workers near the data, then fast ones with a large part of their
-// cores free.
-func (w *worker) score(j *job, step Step, separated bool) Score {
-	s := Score{Slowdown: w.slowdownPenalty(), Failing: failingPenalty * w.health.FailingShare(), Cell: w.cellScore(j)}
+// score prefers workers near the data, then those where the task ends in time or that are
+// fast, with a large part of their cores free.
+func (c *Core) score(p *pass, w *worker, j *job, step Step, t *estimate.Target, separated bool) Score {
+	s := Score{
+		Slowdown: w.slowdownPenalty(), Failing: failingPenalty * w.health.FailingShare(), Cell: w.cellScore(j),
+		ExpectedEnd: c.endPenalty(w, p, t, j),
+	}
 	if w.remote {
 		s.Remote = remotePenalty
 	}
--- a/internal/core/entry/snapshot.go
+++ b/internal/core/entry/snapshot.go
@@ -23,6 +23,10 @@
 	Workers      []WorkerSnapshot
 	Accounts     []AccountSnapshot
 	Peers        []msg.Peer
+	// Evacuated lists the evacuations in force.
+	Evacuated []EvacuationChanged
+	// LearnedWorkers is the number of workers whose speed is learned.
+	LearnedWorkers int
 	// SeparatedPairs lists the job types whose tasks prefer different workers, ObservedPairs
 	// counts those with evidence.
 	SeparatedPairs []SeparatedPair
@@ -40,12 +44,15 @@
 	Name          string
 	FailureDomain string
 	Service       string
-	// State is one of up, suspect, leaving and unlinked.
+	// State is one of up, evacuated, suspect, leaving and unlinked.
 	State       string
 	Slots       int
 	Free        int
 	Outstanding int
 	Revision    uint64
+	// Speed is the learned speed relative to the mean of the service, and SpeedUncertainty
+	// the standard deviation of its logarithm. Both are zero unless a speed is learned.
+	Speed, SpeedUncertainty float64
 }
 
 // AccountSnapshot is the usage of one client account through this entry.
@@ -62,9 +69,11 @@
 // Snapshot returns a copy of the state. It changes nothing.
 func (c *Core) Snapshot() Snapshot {
 	return Snapshot{
-		Revision: c.policy.Revision, Jobs: len(c.jobs), QueuedTasks: c.queue.tasks,
+		LearnedWorkers: c.learnedWorkers(),
+		Revision:       c.policy.Revision, Jobs: len(c.jobs), QueuedTasks: c.queue.tasks,
 		RunningTasks: len(c.attempts), Links: len(c.workers.byLink), Draining: c.draining,
 		MessageDelay: c.MessageDelay(), Workers: c.workerSnapshots(), Accounts: c.accountSnapshots(), Peers: slices.Clone(c.peers),
+		Evacuated:      c.evacuationsInForce(),
 		SeparatedPairs: c.separatedPairs(), ObservedPairs: c.separations.observedPairs(),
 	}
 }
@@ -85,10 +94,15 @@
 	out := make([]WorkerSnapshot, 0, len(c.workers.list))
 	for _, w := range c.workers.list {
 		state := w.state.String()
-		if !w.linked() {
+		switch {
+		case !w.linked():
 			state = "unlinked"
+		case w.evacuated && w.state == workerUp:
+			state = "evacuated"
 		}
+		speed, uncertainty := w.learnedSpeed()
 		out = append(out, WorkerSnapshot{
+			Speed: speed, SpeedUncertainty: uncertainty,
 			Name: w.name, FailureDomain: w.hello.FailureDomain, Service: w.hello.Service, State: state,
 			Slots: w.hello.Slots, Free: w.free, Outstanding: len(w.outstanding), Revision: w.revision,
 		})
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -8,6 +8,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/health"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/speed"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/invariant"
 )
@@ -49,10 +50,19 @@
 	outcomes health.Outcomes
 	health   health.Worker
 	slowdown slowdown
+	// reportedStalled is set while the agent reports that the worker's tasks make no progress,
+	// stalled once the entry has acted on it.
+	reportedStalled, stalled bool
+	// speed is nil unless the core learns speeds.
+	speed *speed.Worker
 	// crashed is set from a crash of the worker until it takes tasks again.
 	crashed bool
 	// suspects counts the outstanding attempts of tasks under which a worker crashed before.
 	suspects int
+	// evacuated is set while the worker's failure domain is evacuated. refusedUntil is set after
+	// the agent has refused a task for that reason although the entry did not know.
+	evacuated    bool
+	refusedUntil time.Time
 	// inCell is set for a worker that tasks of confined job types may use.
 	inCell bool
 	// separationRank is the worker's place in the order of package separation.
@@ -96,7 +106,7 @@
 func (w *worker) described() bool { return w.hello.Slots > 0 || w.hello.Size != msg.Size{} }
 
 func (w *worker) usable() bool {
-	return w.linked() && w.state == workerUp && (w.hello.Leased() || w.free+w.spare > 0)
+	return w.linked() && w.state == workerUp && !w.evacuated && w.refusedUntil.IsZero() && (w.hello.Leased() || w.free+w.spare > 0)
 }
 
 // clockAt estimates the agent's clock. The estimate is never ahead of the real clock,
@@ -140,6 +150,7 @@
 	w.outcomes = r.Outcomes
 	w.setFree(r.Free-w.inFlight(r.Covers), r.Spare)
 	w.setRoom(r)
+	w.reportedStalled = r.Stalled
 	return true
 }
 
@@ -295,6 +306,7 @@
 	}
 	c.recordContact(now, w, in.Clock)
 	c.sendTo(now, w, c.welcome())
+	c.sendEvacuationsTo(now, w)
 	if w.revision < c.policy.Revision {
 		c.sendTable(now, w)
 	}
@@ -319,6 +331,8 @@
 	}
 	w.retired = append(w.retired, w.incarnation)
 	w.health, w.outcomes, w.slowdown = health.Worker{}, health.Outcomes{}, slowdown{}
+	w.reportedStalled, w.stalled = false, false
+	c.forgetSpeed(w)
 	w.covered, w.lastReport, w.revision, w.clock, w.clockSeen = 0, 0, 0, 0, time.Time{}
 	w.transit = transit{}
 	c.separations.forgetWorker(w)
@@ -339,6 +353,7 @@
 	if h.Incarnation == w.incarnation && h.Report.Number <= w.lastReport {
 		return
 	}
+	c.trackSpeed(w, h)
 	w.hello, w.incarnation, w.revision = h, h.Incarnation, max(w.revision, h.Revision)
 	w.remote = c.cfg.FailureDomain != "" && h.FailureDomain != "" && h.FailureDomain != c.cfg.FailureDomain
 	w.report(h.Report)
@@ -347,6 +362,7 @@
 		w.state = workerLeaving
 	}
 	w.crashed = w.crashed && h.Leaving
+	w.evacuated = c.evacuations.Evacuated(h.FailureDomain)
 	c.noteCrashes(now, w, h.Crashes)
 	c.markCells()
 	c.separations.workersChanged()
@@ -373,9 +389,11 @@
 	case msg.Hello:
 		if m.Worker == w.name && m.Incarnation == w.incarnation {
 			c.applyHello(now, w, m)
+			c.correctEvacuation(now, w)
 		}
 	case msg.Refused:
 		w.report(m.Report)
+		w.noteRefusal(now, m.Reason)
 		if m.Reason == verdict.NoSlot {
 			c.workers.discardStaleReports(now, w.hello.Service)
 		}
@@ -399,6 +417,7 @@
 		}
 	}
 	c.updateHealth(now, w)
+	c.updateStalled(w)
 	w.checkSlots()
 }
 
@@ -433,6 +452,7 @@
 	for _, w := range lost {
 		c.loseAttempts(w, "the worker has been silent for too long")
 		c.unlink(w)
+		c.forgetSpeed(w)
 		c.workers.drop(w)
 	}
 	if len(lost) > 0 {
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -23,6 +23,7 @@
 	"slices"
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/callpace"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/roundtrip"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
@@ -65,7 +66,8 @@
 	abortTime = 60 * time.Millisecond
 	// tickSlack is how late the caller's ticks may be.
 	tickSlack = 100 * time.Millisecond
-	// stopRetryDelay is the pause before a stop that got no answer is sent again.
+	// stopRetryDelay is the pause before a stop that got no answer is sent again for the first
+	// time.
 	stopRetryDelay = 20 * time.Millisecond
 	// silentAfterHolds and silentAfter are the number of holds in a row without an answer,
 	// and the time since the first of them, at which the worker counts as silent. The
@@ -98,6 +100,11 @@
 	ackTerm = 500 * time.Millisecond
 )
 
+// holdSpacing spaces out holds that fail at once. Its Max lets silentAfter pass with no more than
+// eight connections and without delaying the moment at which the worker counts as silent by
+// more than that.
+var holdSpacing = callpace.Bounds{Min: 10 * time.Millisecond, Max: 50 * time.Millisecond}
+
 // answerBounds limit the timeouts of calls, apart from the time that a hold waits at the
 // worker. The worker is on the same VM and answers within a millisecond; the rest is the
 // delay of this process, which has a fraction of a core.
@@ -137,8 +144,11 @@
 	owners   map[msg.Incarnation]*owner
 	// limited is set while the lease cannot be extended by minStartLease.
 	limited bool
-	byCall  map[uint64]call
-	out     []Output
+	// evacuated is set while the worker's failure domain is evacuated, whichever instance of
+	// the worker runs.
+	evacuated bool
+	byCall    map[uint64]call
+	out       []Output
 	instanceState
 }
 
@@ -162,6 +172,7 @@
 	// first of them had timed out.
 	unanswered      int
 	unansweredSince time.Time
+	holdPace        callpace.Pace
 	// leaving is set when the worker has deregistered, announcedLeaving when it has
 	// announced that it is going to end.
 	leaving, announcedLeaving bool
@@ -275,6 +286,10 @@
 		c.suspended(in.For)
 	case Answer:
 		c.answer(in)
+	case SetEvacuated:
+		// startConfirmed refuses the starts that wait. One that is under way to the worker may
+		// still be carried out until the end of the lease that it names.
+		c.evacuated = in.Evacuated
 	}
 	c.updateLimited()
 	c.startConfirmed()
@@ -348,7 +363,7 @@
 	c.refuseDelayed(verdict.WrongIncarnation)
 	c.abortAll()
 	fresh := New(c.cfg)
-	fresh.now, fresh.out, fresh.lastCall = c.now, c.out, c.lastCall
+	fresh.now, fresh.out, fresh.lastCall, fresh.evacuated = c.now, c.out, c.lastCall, c.evacuated
 	fresh.instanceState = newInstanceState(in.Instance, c.lastCall)
 	fresh.announcedLeaving = in.Leaving
 	*c = *fresh
--- a/internal/core/verdict/placement.go
+++ b/internal/core/verdict/placement.go
@@ -10,8 +10,19 @@
 	WorkerSilent
 	// WorkerGoing means that the worker accepts no new tasks.
 	WorkerGoing
-	// WorkerOnTrial means that the worker is failing or slow and no trial task is due.
+	// WorkerOnTrial means that the worker is failing and no trial task is due.
 	WorkerOnTrial
+	// WorkerSlow means that the worker is slow, or slower than its learned speed, and no trial
+	// task is due.
+	WorkerSlow
+	// NoProgress means that the worker's tasks make no progress and its agent asks for no
+	// trial task that the task could be.
+	NoProgress
+	// WorkerEvacuated means that the worker's failure domain is evacuated.
+	WorkerEvacuated
+	// EvacuationReported means that the worker's agent has just refused a task because of an
+	// evacuation that the entry does not know of.
+	EvacuationReported
 	// NoRoom means that the worker, or each of them, lacks free capacity for the task.
 	NoRoom
 	// MissingLabel means that the worker lacks the label that the step requires.
@@ -34,7 +45,8 @@
 )
 
 var placementRuleNames = [placementRuleEnd]string{
-	"", "worker_unlinked", "worker_silent", "worker_going", "worker_on_trial", "no_room", "missing_label", "step_limit",
+	"", "worker_unlinked", "worker_silent", "worker_going", "worker_on_trial", "worker_slow",
+	"no_progress", "worker_evacuated", "evacuation_reported", "no_room", "missing_label", "step_limit",
 	"failed_there", "crash_rules", "account_limit", "reserved_room", "behind_others",
 }
 
--- a/internal/entryd/explain.go
+++ b/internal/entryd/explain.go
@@ -74,6 +74,7 @@
 			Name: w.Name, FailureDomain: w.FailureDomain, Rule: w.Rule.String(), Score: w.Total,
 			Room: w.Score.Room, Affinity: w.Score.Affinity, Slowdown: w.Score.Slowdown, Remote: w.Score.Remote,
 			Failing: w.Score.Failing, Cell: w.Score.Cell, Separation: w.Score.Separation,
+			ExpectedEnd: w.Score.ExpectedEnd,
 		})
 	}
 }
--- a/internal/entryd/metrics.go
+++ b/internal/entryd/metrics.go
@@ -25,6 +25,8 @@
 		l.metrics.Retried(out.Reason)
 	case entry.WorkerJudged:
 		l.metrics.WorkerJudged(out.Health)
+	case entry.RunTimeDiscarded:
+		l.metrics.RunTimeDiscarded()
 	case entry.JobTypeConfined:
 		if out.Confined {
 			l.metrics.JobTypeConfined()
@@ -66,10 +68,11 @@
 	}
 	g := telemetry.Gauges{
 		QueuedTasks: s.QueuedTasks, RunningTasks: s.RunningTasks, OpenJobs: s.Jobs,
-		MessageDelay: s.MessageDelay, Links: s.Links, Revision: s.Revision, StoreReachable: d.storeReachable(),
+		MessageDelay: s.MessageDelay, LearnedWorkers: s.LearnedWorkers, Links: s.Links, Revision: s.Revision, StoreReachable: d.storeReachable(),
 	}
 	g.SeparatedPairs, g.ObservedPairs = len(s.SeparatedPairs), s.ObservedPairs
 	report := d.tableReport()
+	g.EvacuatedDomains = len(s.Evacuated)
 	g.UnappliedValues, g.TableRejected = report.unapplied, report.rejected != ""
 	for _, w := range s.Workers {
 		g.FreeSlots += w.Free
--- a/internal/linkpb/agent.go
+++ b/internal/linkpb/agent.go
@@ -106,7 +106,7 @@
 		Service: m.Service, Slots: uint32(m.Slots), Report: encodeSlots(m.Report),
 		Connections: uint32(m.Connections), Revision: m.Revision, Leaving: m.Leaving,
 		Size: EncodeSize(m.Size), ReleaseAfterNs: int64(m.ReleaseAfter), Labels: m.Labels, Settled: m.Settled,
-		Crashes: encodeCrashes(m.Crashes),
+		Crashes: encodeCrashes(m.Crashes), EvacuatedAt: m.EvacuatedAt,
 	}
 }
 
@@ -164,7 +164,7 @@
 		Slots: int(h.GetSlots()), Report: decodeSlots(h.GetReport()), Connections: int(h.GetConnections()),
 		Revision: h.GetRevision(), Leaving: h.GetLeaving(), Size: DecodeSize(h.GetSize()),
 		ReleaseAfter: time.Duration(h.GetReleaseAfterNs()), Labels: h.GetLabels(), Settled: h.GetSettled(),
-		Crashes: decodeCrashes(h.GetCrashes()),
+		Crashes: decodeCrashes(h.GetCrashes()), EvacuatedAt: h.GetEvacuatedAt(),
 	}, nil
 }
 
@@ -207,7 +207,7 @@
 
 func encodeSlots(s msg.Slots) *pb.SlotReport {
 	p := &pb.SlotReport{Free: uint32(s.Free), Spare: uint32(s.Spare), Covers: s.Covers, Number: s.Number,
-		EndedTasks: s.Outcomes.Ended, FailedTasks: s.Outcomes.Failed}
+		EndedTasks: s.Outcomes.Ended, FailedTasks: s.Outcomes.Failed, Stalled: s.Stalled}
 	if s.Room != (msg.Size{}) {
 		p.Room = EncodeSize(s.Room)
 	}
@@ -220,7 +220,7 @@
 	return msg.Slots{
 		Free: int(min(p.GetFree(), MaxSlots)), Spare: int(min(p.GetSpare(), MaxSlots)),
 		Covers: p.GetCovers(), Number: p.GetNumber(), Outcomes: health.Outcomes{Ended: p.GetEndedTasks(), Failed: p.GetFailedTasks()},
-		Room: DecodeSize(p.GetRoom()),
+		Room: DecodeSize(p.GetRoom()), Stalled: p.GetStalled(),
 	}
 }
 
--- a/internal/processtest/soak_process_test.go
+++ b/internal/processtest/soak_process_test.go
@@ -194,6 +194,9 @@
 	content, err := os.ReadFile(filepath.Join("../../deploy", template))
 	s.must(err)
 	text := strings.Replace(string(content), `protocol = "platform"`, `protocol = "native"`, 1)
+	if s.size.evacuations {
+		text = "evacuations = true\n" + text
+	}
 	text = seedList.ReplaceAllLiteralString(text, `"`+strings.Join(seeds, `", "`)+`"`)
 	for key, value := range values {
 		text = strings.ReplaceAll(text, "{{"+key+"}}", value)
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -33,7 +33,7 @@
 		{"peers", "Addresses of entries to ask for the table when the store is down; may be empty.", &s.Peers, optionalAddresses(&s.Peers), ""},
 		insecureNetwork(&s.InsecureNetwork, "TLS and callers' tokens"),
 		authentication(&s.Authentication, &s.Listen, &s.InsecureNetwork),
-		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay),
+		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay), evacuations(&s.Evacuations),
 		{"store.address", "Address of the platform's store. Without store and peers the built-in table is in force.", &s.Store.Address, optionalAddress(&s.Store.Address), ""},
 		storeProtocol(&s.Store),
 		{"platform.callers", "Address for clients of the users' platform; empty means none.", &s.Platform.Callers, optionalAddress(&s.Platform.Callers), ""},
@@ -54,6 +54,8 @@
 		{"timing.idle_heartbeat", "Longest silence of this entry towards any other agent; not shorter than heartbeat_interval. A worker without tasks that falls silent is noticed later by two of them, or after suspect_after once it gets a task.", &s.Timing.IdleHeartbeat, atLeast(&s.Timing.IdleHeartbeat, &s.Timing.HeartbeatInterval, "timing.heartbeat_interval"), ""},
 		{"timing.ack_delay", "How long an acknowledgement waits for other traffic.", &s.Timing.AckDelay, durationBetween(&s.Timing.AckDelay, 0, 10*time.Second), ""},
 		{"timing.run_limit", "Longest time that an endpoint may take for one task.", &s.Timing.RunLimit, durationBetween(&s.Timing.RunLimit, minDuration, 24*time.Hour), ""},
+		{"admission.shed_by_job_type", "true lets jobs give way on arrival while their service is full: those of types that send more than usual, and of less urgent types. For services whose callers compete.", &s.Admission.ShedByJobType, func() error { return nil }, ""},
+		{"placement.learn_speeds", "true learns how fast the workers are and how run times compare with the declared ones, and places, stops and judges by it. For services whose workers differ in speed for good.", &s.Placement.LearnSpeeds, func() error { return nil }, ""},
 		{"placement.separate_job_types", "Learn which job types slow each other down on a leased worker, and prefer different workers for them. No task waits or is refused for it.", &s.Placement.SeparateJobTypes, func() error { return nil }, ""},
 	}
 }
@@ -71,8 +73,9 @@
 			return optionalAddresses(&s.Entries)()
 		}, ""},
 		{"links", "Number of entries that this agent links to.", &s.Links, intBetween(&s.Links, 1, 64), ""},
+		{"detect_stalls", "true notices that the tasks of a leased worker make no progress, from all tasks there, and lets entries start them elsewhere.", &s.DetectStalls, func() error { return nil }, ""},
 		insecureNetwork(&s.InsecureNetwork, "TLS"),
-		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay),
+		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay), evacuations(&s.Evacuations),
 		{"store.address", "Address of the platform's store, where the agent finds entries; empty means none.", &s.Store.Address, optionalAddress(&s.Store.Address), ""},
 		storeProtocol(&s.Store),
 		{"platform.service", "Service of this VM's worker of the users' platform; empty means an endpoint with the product's own interface.", &s.Platform.Service, optionalText(&s.Platform.Service), ""},
@@ -105,6 +108,10 @@
 	return Field{"insecure_network", "true gives up " + protections + " on addresses that others can reach: whoever reaches them can read and send everything.", value, func() error { return nil }, ""}
 }
 
+func evacuations(value *bool) Field {
+	return Field{"evacuations", "true makes the process follow the operators' requests to evacuate a failure domain: no task starts at a worker there. Set it for entries and agents alike, once all run a version that knows the key.", value, func() error { return nil }, ""}
+}
+
 func storeProtocol(s *Store) Field {
 	return Field{"store.protocol", "\"native\" or \"platform\": the protocol of the store.", &s.Protocol, oneOf(&s.Protocol, ProtocolNative, ProtocolPlatform), ""}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,15 +31,18 @@
 	Authentication string      `toml:"authentication"`
 	StopLimit      Duration    `toml:"stop_limit"`
 	ReadyDelay     Duration    `toml:"ready_delay"`
+	Evacuations    bool        `toml:"evacuations"`
 	Store          Store       `toml:"store"`
 	TLS            TLS         `toml:"tls"`
 	Log            Log         `toml:"log"`
 	Limits         EntryLimits `toml:"limits"`
 	// InsecureNetwork allows addresses beyond loopback without TLS and tokens.
-	InsecureNetwork bool          `toml:"insecure_network"`
-	Platform        EntryPlatform `toml:"platform"`
-	Timing          EntryTiming   `toml:"timing"`
-	Placement       Placement     `toml:"placement"`
+	InsecureNetwork bool           `toml:"insecure_network"`
+	Platform        EntryPlatform  `toml:"platform"`
+	Timing          EntryTiming    `toml:"timing"`
+	Admission       EntryAdmission `toml:"admission"`
+	// Placement chooses how tasks are placed.
+	Placement EntryPlacement `toml:"placement"`
 	// Source records where each value came from, for errors after loading.
 	Source Source `toml:"-"`
 }
@@ -53,9 +56,12 @@
 	Links         int         `toml:"links"`
 	StopLimit     Duration    `toml:"stop_limit"`
 	ReadyDelay    Duration    `toml:"ready_delay"`
+	Evacuations   bool        `toml:"evacuations"`
 	TLS           TLS         `toml:"tls"`
 	Log           Log         `toml:"log"`
 	Timing        AgentTiming `toml:"timing"`
+	// DetectStalls lets the agent notice that the tasks of a leased worker make no progress.
+	DetectStalls bool `toml:"detect_stalls"`
 	// InsecureNetwork allows addresses beyond loopback without TLS.
 	InsecureNetwork bool          `toml:"insecure_network"`
 	Store           Store         `toml:"store"`
@@ -117,6 +123,21 @@
 	Memory Bytes `toml:"memory"`
 }
 
+// EntryAdmission holds the settings of which jobs an entry refuses while a service is full.
+type EntryAdmission struct {
+	// ShedByJobType lets jobs of types that send more than usual, and of less urgent types,
+	// give way on arrival.
+	ShedByJobType bool `toml:"shed_by_job_type"`
+}
+
+// EntryPlacement holds the settings of how an entry places tasks.
+type EntryPlacement struct {
+	// LearnSpeeds lets the entry learn run times and workers' speeds and decide by them.
+	LearnSpeeds bool `toml:"learn_speeds"`
+	// SeparateJobTypes prefers different workers for job types that slow each other down.
+	SeparateJobTypes bool `toml:"separate_job_types"`
+}
+
 // EntryTiming holds an entry's timeouts and intervals.
 type EntryTiming struct {
 	StartWindow       Duration `toml:"start_window"`
@@ -128,12 +149,6 @@
 	RunLimit          Duration `toml:"run_limit"`
 }
 
-// Placement holds how an entry chooses workers.
-type Placement struct {
-	// SeparateJobTypes prefers different workers for job types that slow each other down.
-	SeparateJobTypes bool `toml:"separate_job_types"`
-}
-
 // AgentTiming holds an agent's timeouts and intervals.
 type AgentTiming struct {
 	ResultKeep        Duration `toml:"result_keep"`
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -22,28 +22,34 @@
 	UnappliedValues int
 	// TableRejected is set while the newest table is not in force.
 	TableRejected bool
+	// EvacuatedDomains is the number of failure domains whose evacuation is in force.
+	EvacuatedDomains int
 	// SeparatedPairs and ObservedPairs count pairs of job types.
 	SeparatedPairs, ObservedPairs int
 	// MessageDelay is how late the entry reads the messages of its agents.
 	MessageDelay time.Duration
+	// LearnedWorkers is the number of workers whose speed is learned.
+	LearnedWorkers int
 }
 
 // Observe exports the gauges that read returns at each collection. Read returns
 // false when the process is stopping; no gauge is exported then.
 func (m *Metrics) Observe(read func(context.Context) (Gauges, bool)) error {
 	values := map[Definition]func(Gauges) int64{
-		queued:         func(g Gauges) int64 { return int64(g.QueuedTasks) },
-		running:        func(g Gauges) int64 { return int64(g.RunningTasks) },
-		openJobs:       func(g Gauges) int64 { return int64(g.OpenJobs) },
-		freeSlots:      func(g Gauges) int64 { return int64(g.FreeSlots) },
-		links:          func(g Gauges) int64 { return int64(g.Links) },
-		revision:       func(g Gauges) int64 { return int64(g.Revision) },
-		messageDelay:   func(g Gauges) int64 { return g.MessageDelay.Microseconds() },
-		unapplied:      func(g Gauges) int64 { return int64(g.UnappliedValues) },
-		tableRejected:  func(g Gauges) int64 { return boolToInt64(g.TableRejected) },
-		separatedPairs: func(g Gauges) int64 { return int64(g.SeparatedPairs) },
-		observedPairs:  func(g Gauges) int64 { return int64(g.ObservedPairs) },
-		storeReachable: func(g Gauges) int64 { return boolToInt64(g.StoreReachable) },
+		queued:           func(g Gauges) int64 { return int64(g.QueuedTasks) },
+		running:          func(g Gauges) int64 { return int64(g.RunningTasks) },
+		openJobs:         func(g Gauges) int64 { return int64(g.OpenJobs) },
+		freeSlots:        func(g Gauges) int64 { return int64(g.FreeSlots) },
+		links:            func(g Gauges) int64 { return int64(g.Links) },
+		revision:         func(g Gauges) int64 { return int64(g.Revision) },
+		messageDelay:     func(g Gauges) int64 { return g.MessageDelay.Microseconds() },
+		unapplied:        func(g Gauges) int64 { return int64(g.UnappliedValues) },
+		tableRejected:    func(g Gauges) int64 { return boolToInt64(g.TableRejected) },
+		evacuatedDomains: func(g Gauges) int64 { return int64(g.EvacuatedDomains) },
+		storeReachable:   func(g Gauges) int64 { return boolToInt64(g.StoreReachable) },
+		learnedWorkers:   func(g Gauges) int64 { return int64(g.LearnedWorkers) },
+		separatedPairs:   func(g Gauges) int64 { return int64(g.SeparatedPairs) },
+		observedPairs:    func(g Gauges) int64 { return int64(g.ObservedPairs) },
 	}
 	var instruments []metric.Observable
 	gauges := make(map[metric.Int64ObservableGauge]func(Gauges) int64)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -41,8 +41,11 @@
 	dispatched, started, ended        *labelledCounter
 	workerConflicts, entryConflicts   *labelledCounter
 	workerHealth                      *labelledCounter
+	runTimesDiscarded                 *labelledCounter
 	announceRefusals                  *labelledCounter
+	evacuationsRejected               *labelledCounter
 	workerCrashes, jobTypesConfined   *labelledCounter
+	workerStalls                      *labelledCounter
 	pairChanges, colocationRejected   *labelledCounter
 	endedLate, pauses, cancels        *labelledCounter
 	sent, received                    messageCounters
@@ -93,7 +96,10 @@
 	m.dispatched, m.started = m.newCounter(dispatched, "", ""), m.newCounter(started, "", "")
 	m.workerConflicts, m.entryConflicts = m.newCounter(workerConflicts, "", ""), m.newCounter(entryConflicts, "", "")
 	m.announceRefusals = m.newCounter(announceRefusals, "", "")
+	m.evacuationsRejected = m.newCounter(evacuationsRejected, "", "")
 	m.workerCrashes, m.jobTypesConfined = m.newCounter(workerCrashes, "", ""), m.newCounter(jobTypesConfined, "", "")
+	m.runTimesDiscarded = m.newCounter(runTimesDiscarded, "", "")
+	m.workerStalls = m.newCounter(workerStalls, "", "")
 	m.pairChanges, m.colocationRejected = m.newCounter(pairChanges, "change", separationBegun, separationEnded), m.newCounter(colocationRejected, "", "")
 	m.workerHealth = m.newCounter(workerHealth, "health")
 	for _, h := range verdict.WorkerHealths() {
@@ -144,9 +150,15 @@
 // than the one that answers.
 func (m *Metrics) AnnouncementRefused() { m.announceRefusals.add("", 1) }
 
+// EvacuationRejected counts a request to evacuate a failure domain that cannot be used.
+func (m *Metrics) EvacuationRejected() { m.evacuationsRejected.add("", 1) }
+
 // WorkerCrashed counts a crash of a leased worker while tasks ran there.
 func (m *Metrics) WorkerCrashed() { m.workerCrashes.add("", 1) }
 
+// WorkerStalled counts a stall of the leased worker.
+func (m *Metrics) WorkerStalled() { m.workerStalls.add("", 1) }
+
 // Values of the label of pauses.
 const (
 	pauseSuspended   = "suspended"
@@ -163,6 +175,9 @@
 	m.pauses.add(kind, 1)
 }
 
+// RunTimeDiscarded counts a reported run time that cannot be one.
+func (m *Metrics) RunTimeDiscarded() { m.runTimesDiscarded.add("", 1) }
+
 // JobTypeConfined counts a job type whose tasks are confined to a part of the workers.
 func (m *Metrics) JobTypeConfined() { m.jobTypesConfined.add("", 1) }
 
