Follow tasks also if entries link before the worker announces itself

The agent started to follow what runs beside its tasks only when an entry linked while the worker's announcement was known. Entries usually link first, and then no result ever had evidence. The agent now checks at each announcement and each tick, and also ends once no linked entry asks.

TestTasksAreFollowedWhileAnEntryAsks fails without the change.

--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -208,6 +208,7 @@
 	c.closeSilentLinks(now)
 	c.stopOrphans(now)
 	c.checkStall(now)
+	c.setColocation(now)
 	c.closeDrainedLinks(now)
 	c.startWaiting(now)
 	for _, e := range c.entries.linked {
--- a/internal/core/agent/colocation.go
+++ b/internal/core/agent/colocation.go
@@ -10,7 +10,8 @@
 // This file follows what runs beside each task of a leased worker, while a linked entry asks
 // for it. Only the agent knows the tasks of all entries.
 
-// setColocation starts or ends to follow the tasks, after an entry has linked.
+// setColocation starts or ends to follow the tasks. Entries may link before the worker has
+// announced itself.
 func (c *Core) setColocation(now time.Time) {
 	asked := false
 	for _, e := range c.entries.linked {
--- a/internal/core/agent/colocation_test.go
+++ b/internal/core/agent/colocation_test.go
@@ -59,3 +59,25 @@
 	f.end(attempt(entry, 1), msg.ResultOK)
 	f.c.Check(lastBeside(f, entry), qt.DeepEquals, colocation.Summary{}, qt.Commentf("it started before the entry asked"))
 }
+
+// Guards against an agent that says nothing for good because its entries linked before its
+// worker announced itself, and against one that follows the tasks for entries that are gone.
+func TestTasksAreFollowedWhileAnEntryAsks(t *testing.T) {
+	f := &fixture{c: qt.New(t), now: time.Unix(1000, 0)}
+	f.core = agent.New(agent.Config{
+		Worker: "w", Incarnation: self, ResultKeep: time.Minute, HeartbeatInterval: 10 * time.Second, OrphanAfter: time.Hour, Epoch: f.now,
+	})
+	f.step(agent.LinkUp{Entry: entry, Name: "e", ColocationEvery: 1})
+	f.step(agent.LinkUp{Entry: other, Name: "o"})
+	f.step(agent.EndpointAnnounced{Service: "s", Slots: 8, Connections: 64, Size: msg.Size{Cores: 32}, Join: 1, Number: 1, Leased: true})
+	f.step(agent.LeaseChanged{Ready: true, Settled: true})
+	f.runType(entry, 1, "a")
+	f.now = f.now.Add(50 * time.Millisecond)
+	f.end(attempt(entry, 1), msg.ResultOK)
+	f.c.Check(lastBeside(f, entry).Known, qt.IsTrue)
+
+	f.c.Check(f.core.FollowsTasks(), qt.IsTrue)
+	f.step(agent.LinkDown{Entry: entry})
+	f.advanceFine(time.Second)
+	f.c.Check(f.core.FollowsTasks(), qt.IsFalse)
+}
--- a/internal/core/agent/endpoint.go
+++ b/internal/core/agent/endpoint.go
@@ -131,6 +131,7 @@
 		c.endpoint.describedAt, c.endpoint.describedBy = c.Clock(now), c.lastReport+1
 	}
 	c.endpoint.apply(c.cfg.Incarnation, in)
+	c.setColocation(now)
 	if before != c.endpoint.advertised() {
 		// Hello also says whether the endpoint is leaving.
 		c.sendHellos(now)
--- a/internal/core/agent/export_test.go
+++ b/internal/core/agent/export_test.go
@@ -19,3 +19,6 @@
 	c.dropResult(id, c.attempts[id])
 	c.dropResult(id, c.attempts[id])
 }
+
+// FollowsTasks reports whether the agent follows what runs beside each task.
+func (c *Core) FollowsTasks() bool { return c.colocation != nil }
