Reject summaries that name a job type twice or too many tasks

A summary that named a type eight times counted the sum of its means, so that one result of a faulty agent could outweigh thousands of others. A mean between 64 and 4,096 passed the decoder and was then left out by the model without being counted or logged. An agent now reports at most 64 tasks of a type, which keeps the runs at workers with very many small tasks, and more are malformed.

TestMalformedColocationLeavesTheResult and TestVeryManyTasks fail without the change.

--- a/internal/core/colocation/colocation.go
+++ b/internal/core/colocation/colocation.go
@@ -18,8 +18,9 @@
 	maxTypes = 32
 	// MaxNeighbours bounds the job types in a summary.
 	MaxNeighbours = 8
-	// minMean is the smallest mean number of tasks that is reported.
-	minMean = 1.0 / 16
+	// minMean is the smallest mean number of tasks that is reported, MaxMean the largest. More
+	// count as that, so that a worker with very many tasks does not outweigh all others.
+	minMean, MaxMean = 1.0 / 16, 64
 )
 
 // TypeID identifies a job type in messages, where a name would take several times the
@@ -184,7 +185,7 @@
 			mean--
 		}
 		if mean >= minMean {
-			s.Neighbours = append(s.Neighbours, Neighbour{slot.id, mean})
+			s.Neighbours = append(s.Neighbours, Neighbour{slot.id, min(mean, MaxMean)})
 		}
 	}
 	slices.SortFunc(s.Neighbours, func(a, b Neighbour) int {
--- a/internal/core/colocation/colocation_test.go
+++ b/internal/core/colocation/colocation_test.go
@@ -104,3 +104,15 @@
 		}
 	})
 }
+
+// Guards against runs that are left out as invalid because a large worker runs very many small
+// tasks.
+func TestVeryManyTasks(t *testing.T) {
+	tracker := New(time.Unix(1000, 0))
+	for range 90 {
+		tracker.Start(time.Unix(1000, 0), "small", 1)
+	}
+	m := tracker.Start(time.Unix(1000, 0), "a", 4)
+	s := tracker.End(time.Unix(1001, 0), m, 96)
+	qt.Check(t, s.Neighbours, qt.DeepEquals, []Neighbour{{Type: TypeIDOf("small"), Mean: MaxMean}})
+}
--- a/internal/linkpb/colocation.go
+++ b/internal/linkpb/colocation.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/poplarlever/poplarlever/internal/core/colocation"
 	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
@@ -12,8 +13,6 @@
 	// mean number of tasks below 8 takes one.
 	loadUnits = 255
 	meanUnits = 16
-	// maxMean bounds a mean number of tasks. No worker runs as many.
-	maxMean = 4096
 )
 
 // encodeColocation returns nil for an unknown summary, so that it takes no space.
@@ -24,7 +23,7 @@
 	p := &pb.Colocation{Load: uint32(math.Round(s.Load * loadUnits))}
 	for _, n := range s.Neighbours {
 		p.Types = append(p.Types, uint32(n.Type))
-		p.Means = append(p.Means, uint32(math.Round(min(n.Mean, maxMean)*meanUnits)))
+		p.Means = append(p.Means, uint32(math.Round(min(n.Mean, colocation.MaxMean)*meanUnits)))
 	}
 	return p
 }
@@ -41,7 +40,7 @@
 	}
 	s := colocation.Summary{Known: true, Load: float64(p.GetLoad()) / loadUnits}
 	for i, id := range types {
-		if means[i] > maxMean*meanUnits {
+		if means[i] > colocation.MaxMean*meanUnits || slices.Contains(types[:i], id) {
 			return colocation.Summary{Malformed: true}
 		}
 		s.Neighbours = append(s.Neighbours, colocation.Neighbour{Type: colocation.TypeID(id), Mean: float64(means[i]) / meanUnits})
--- a/internal/linkpb/linkpb_test.go
+++ b/internal/linkpb/linkpb_test.go
@@ -121,6 +121,8 @@
 		"more types than means":   {Types: []uint32{1, 2}, Means: []uint32{1}},
 		"too many types":          {Types: make([]uint32, 9), Means: make([]uint32, 9)},
 		"more tasks than can run": {Types: []uint32{1}, Means: []uint32{1 << 31}},
+		"more tasks than counted": {Types: []uint32{1}, Means: []uint32{65 * 16}},
+		"the same type twice":     {Types: []uint32{1, 2, 1}, Means: []uint32{16, 16, 16}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			m := linkpb.EncodeFromAgent(msg.Result{Attempt: id, Kind: msg.ResultOK, Payload: []byte("p")})
