Bound the services and the separated pairs of the interference model

A service that left the table was kept for ever, without job types. Once all 4,096 pairs were separated, none could be dropped and each new one was added all the same. A pair without room is now left out, and the next search for room waits for ten seconds.

TestServicesAreForgotten (100 services left) and TestSeparatedPairsAreBounded (4,500 pairs) fail without the change.

--- a/internal/core/interference/interference.go
+++ b/internal/core/interference/interference.go
@@ -106,6 +106,8 @@
 	workers  int
 	invalid  uint64
 	checked  time.Time
+	// full is when no pair could be dropped for another one, since all are separated.
+	full time.Time
 }
 
 type service struct {
@@ -338,8 +340,8 @@
 	for _, b := range o.neighbours {
 		p := t.pairs[b.jobType]
 		if p == nil {
-			if m.pairs >= maxPairs {
-				m.evict(now)
+			if m.pairs >= maxPairs && !m.evict(now) {
+				continue
 			}
 			p = &pair{at: now}
 			t.pairs[b.jobType] = p
@@ -458,6 +460,9 @@
 				m.workers--
 			}
 		}
+		if len(s.types) == 0 && len(s.workers) == 0 {
+			delete(m.services, serviceName)
+		}
 	}
 	return expired
 }
@@ -495,8 +500,12 @@
 // information returns the sum of squares of a pair at the given time.
 func (p *pair) information(now time.Time) float64 { return p.xx * decayFactor(p.at, now) }
 
-// evict drops the quarter of the pairs with the least evidence that are not separated.
-func (m *Model) evict(now time.Time) {
+// evict drops the quarter of the pairs with the least evidence that are not separated, and
+// reports whether it has dropped any. After a search in vain the next one waits.
+func (m *Model) evict(now time.Time) bool {
+	if now.Sub(m.full) < expireInterval {
+		return false
+	}
 	type candidate struct {
 		t           *jobType
 		name        string
@@ -520,6 +529,10 @@
 		delete(c.t.pairs, c.name)
 		m.pairs--
 	}
+	if len(all) == 0 {
+		m.full = now
+	}
+	return len(all) > 0
 }
 
 // ForgetWorker drops the speed of a worker, which is another instance from now on.
--- a/internal/core/interference/interference_test.go
+++ b/internal/core/interference/interference_test.go
@@ -134,3 +134,36 @@
 		c.Assert(m.Separated("s"), qt.HasLen, 1)
 	}
 }
+
+// Guards against services that are kept for ever after they left the table.
+func TestServicesAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	m, now, rng := interference.New(), loadStart, rand.New(rand.NewPCG(1, 5))
+	for i := range 100 {
+		now = now.Add(time.Minute)
+		m.Observe(now, fmt.Sprint("s", i), "a", pairOfRuns(rng, 1))
+		m.Expire(now)
+	}
+	m.Expire(now.Add(5 * time.Hour))
+	c.Check(m.Services(), qt.HasLen, 0)
+}
+
+// Guards against more pairs than the bound where so many are separated that none can be
+// dropped.
+func TestSeparatedPairsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	m, now, rng := interference.New(), loadStart, rand.New(rand.NewPCG(1, 6))
+	most := 0
+	for i := range 4500 {
+		for range 60 {
+			now = now.Add(time.Microsecond)
+			runs := pairOfRuns(rng, 30)
+			for k := range runs {
+				runs[k].Neighbours = runs[k].Neighbours[1:]
+			}
+			m.Observe(now, "s", fmt.Sprint("a", i), runs)
+		}
+		most = max(most, m.Size())
+	}
+	c.Check(most <= 4096, qt.IsTrue, qt.Commentf("%d pairs, %d separated", most, len(m.Separated("s"))))
+}
