Forget the speed of a worker in the interference model with its instance

Package interference kept the speed of a worker that came back after it had left, or after it was lost, although it is another instance; package estimate did not. Both now forget together.

--- a/internal/core/entry/crashes.go
+++ b/internal/core/entry/crashes.go
@@ -36,7 +36,6 @@
 	// The silence of a worker that crashed says nothing about its speed.
 	w.slowdown = slowdown{}
 	c.renewSpeed(w)
-	c.separations.forgetWorker(w)
 	w.crashed = w.hello.Leaving
 	c.applyConfinement()
 	c.giveUpQueued()
--- a/internal/core/entry/export_test.go
+++ b/internal/core/entry/export_test.go
@@ -64,3 +64,6 @@
 // WorkersExamined returns how many workers the latest pass over the service's queue
 // examined.
 func (c *Core) WorkersExamined(service string) int { return c.queue.services[service].pass.examined }
+
+// InterferenceWorkers returns the number of workers whose speed package interference knows.
+func (c *Core) InterferenceWorkers() int { return c.separations.model.Workers() }
--- a/internal/core/entry/learning.go
+++ b/internal/core/entry/learning.go
@@ -25,17 +25,20 @@
 // trackSpeed is called before the description of a worker is replaced. A worker that comes
 // back after it left, or that serves another service, is another instance.
 func (c *Core) trackSpeed(w *worker, h msg.Hello) {
-	if c.estimates == nil || !h.Leased() {
+	if !h.Leased() {
 		return
 	}
-	if w.speed != nil && (w.hello.Service != h.Service || w.state == workerLeaving && !h.Leaving) {
+	if w.hello.Service != h.Service || w.state == workerLeaving && !h.Leaving {
 		c.forgetSpeed(w)
 	}
-	w.speed = c.estimates.Worker(h.Service, w.name)
+	if c.estimates != nil {
+		w.speed = c.estimates.Worker(h.Service, w.name)
+	}
 }
 
 // forgetSpeed discards what is known of a worker whose instance has ended.
 func (c *Core) forgetSpeed(w *worker) {
+	c.separations.forgetWorker(w)
 	if w.speed != nil {
 		c.estimates.Forget(w.hello.Service, w.name)
 		w.speed = nil
--- a/internal/core/entry/separation_test.go
+++ b/internal/core/entry/separation_test.go
@@ -25,7 +25,7 @@
 	f := &fixture{c: qt.New(t), now: time.Unix(1000, 0), clock: time.Minute}
 	f.core = entry.New(entry.Config{
 		Name: "e", Incarnation: entryIncarnation, StartWindow: 2 * time.Second,
-		SuspectAfter: time.Hour, LostAfter: 2 * time.Hour, HeartbeatInterval: time.Second,
+		SuspectAfter: 5 * time.Minute, LostAfter: 10 * time.Minute, HeartbeatInterval: time.Second,
 		AckDelay: 100 * time.Millisecond, RunLimit: time.Minute, MaxQueued: 100_000, MaxTasks: 1000, MaxPayload: 100,
 		SeparateJobTypes: enabled,
 	})
@@ -156,3 +156,68 @@
 	}
 	f.c.Check([]int{answered, rejected}, qt.DeepEquals, []int{1, 1})
 }
+
+// runJobs runs jobs of four tasks of which run changes the run time and says what ran beside
+// it, and returns the pairs that are separated.
+func (f *separationFixture) runJobs(jobs int, declared func(task int) time.Duration, run func(w *leasedWorker, d msg.Dispatch) (time.Duration, colocation.Summary)) []entry.SeparatedPair {
+	for range jobs {
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.jobs++
+		j := entry.Job{ID: f.jobs, Service: "s", JobType: "patient", Account: "a", Deadline: f.now.Add(10 * time.Second)}
+		for i := range 4 {
+			j.Tasks = append(j.Tasks, entry.Task{DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: declared(i)})
+		}
+		f.step(entry.Submit{Job: j})
+		dispatches := f.dispatched()
+		for link, w := range f.workers {
+			for _, d := range dispatches[link] {
+				took, beside := run(w, d)
+				w.covers = max(w.covers, d.Seq)
+				w.send(msg.Result{Attempt: d.Attempt, Kind: msg.ResultOK, RunTime: took, Report: w.report(), Beside: beside})
+			}
+		}
+	}
+	return f.core.Snapshot().SeparatedPairs
+}
+
+func besideUrgent(is bool) colocation.Summary {
+	s := colocation.Summary{Known: true, Load: 0.5}
+	if is {
+		s.Neighbours = []colocation.Neighbour{{Type: colocation.TypeIDOf("urgent"), Mean: 1}}
+	}
+	return s
+}
+
+// Guards against the speed of another instance of a worker that is taken for this one's.
+func TestInterferenceForgetsInstances(t *testing.T) {
+	for name, end := range map[string]func(f *separationFixture, w *leasedWorker){
+		"left and came back": func(_ *separationFixture, w *leasedWorker) {
+			w.send(msg.Leaving{Report: w.report()})
+			w.connect(true)
+		},
+		"lost": func(f *separationFixture, w *leasedWorker) {
+			f.step(entry.LinkDown{Link: w.link})
+			f.advance(10*time.Minute + time.Second)
+		},
+		"crashed": func(_ *separationFixture, w *leasedWorker) {
+			w.send(msg.Hello{
+				Worker: w.name, Incarnation: w.inc, Service: "s", Slots: 8, Size: msg.Size{Cores: w.cores}, Revision: 8, ReleaseAfter: releaseAfter,
+				Report: w.report(), Crashes: []msg.WorkerCrash{{Instance: 1}},
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newSeparationFixture(t, true)
+			f.runJobs(100, func(int) time.Duration { return 100 * time.Millisecond }, func(*leasedWorker, msg.Dispatch) (time.Duration, colocation.Summary) {
+				return time.Duration(float64(100*time.Millisecond) * math.Exp(0.15*f.rng.NormFloat64())), besideUrgent(false)
+			})
+			f.c.Assert(f.core.InterferenceWorkers(), qt.Equals, 8)
+			for _, w := range f.workers {
+				if w.name == "w3" {
+					end(f, w)
+				}
+			}
+			f.c.Check(f.core.InterferenceWorkers() < 8, qt.IsTrue)
+		})
+	}
+}
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -335,7 +335,6 @@
 	c.forgetSpeed(w)
 	w.covered, w.lastReport, w.revision, w.clock, w.clockSeen = 0, 0, 0, 0, time.Time{}
 	w.transit = transit{}
-	c.separations.forgetWorker(w)
 }
 
 // unlink closes the current link, if any.
--- a/internal/core/interference/interference.go
+++ b/internal/core/interference/interference.go
@@ -154,6 +154,9 @@
 // Size returns the number of pairs with evidence.
 func (m *Model) Size() int { return m.pairs }
 
+// Workers returns the number of workers whose speed is known.
+func (m *Model) Workers() int { return m.workers }
+
 func (r Run) valid() bool {
 	if !(r.Ratio >= 1/maxRatio && r.Ratio <= maxRatio) || !(r.Load >= 0 && r.Load <= 1) {
 		return false
