Leave out jobs that declare the run times of some tasks only

The runs of a job are compared by their ratio to the declared run time.

TestTasksWithoutDeclaredRunTimeAreNotCompared fails without the change.

--- a/internal/core/entry/separation.go
+++ b/internal/core/entry/separation.go
@@ -108,10 +108,16 @@
 	}
 }
 
-// observedRuns holds the runs of a job's tasks.
+// observedRuns holds the runs of a job's tasks. Each undeclared one is of a task without a
+// declared run time.
 type observedRuns struct {
-	ended int
-	runs  []interference.Run
+	ended, undeclared int
+	runs              []interference.Run
+}
+
+// comparable reports whether the ratios of the runs have the same unit.
+func (o *observedRuns) comparable() bool {
+	return len(o.runs) >= 2 && (o.undeclared == 0 || o.undeclared == len(o.runs))
 }
 
 // recordColocation records a task's run and, once all tasks of its job have ended, compares
@@ -141,8 +147,11 @@
 	j.observed.ended++
 	if task < interference.MaxRuns && r.Beside.Known && valid && !w.slowdown.slow() && !w.health.Quarantined() {
 		j.observed.runs = append(j.observed.runs, service.run(w, t, r))
+		if t.DeclaredRunTime <= 0 {
+			j.observed.undeclared++
+		}
 	}
-	if j.observed.ended < len(j.tasks) || len(j.observed.runs) < 2 {
+	if j.observed.ended < len(j.tasks) || !j.observed.comparable() {
 		return
 	}
 	if pair, changed := s.model.Observe(now, j.spec.Service, j.spec.JobType, j.observed.runs); changed {
--- a/internal/core/entry/separation_test.go
+++ b/internal/core/entry/separation_test.go
@@ -188,6 +188,21 @@
 	return s
 }
 
+// Guards against jobs that declare the run times of some tasks only, whose runs cannot be
+// compared.
+func TestTasksWithoutDeclaredRunTimeAreNotCompared(t *testing.T) {
+	f := newSeparationFixture(t, true)
+	pairs := f.runJobs(1000, func(task int) time.Duration {
+		if task%2 == 0 {
+			return 0
+		}
+		return 100 * time.Millisecond
+	}, func(_ *leasedWorker, d msg.Dispatch) (time.Duration, colocation.Summary) {
+		return time.Duration(float64(100*time.Millisecond) * math.Exp(0.15*f.rng.NormFloat64())), besideUrgent(d.Attempt.Task%2 == 1)
+	})
+	f.c.Check(pairs, qt.HasLen, 0)
+}
+
 // Guards against the speed of another instance of a worker that is taken for this one's.
 func TestInterferenceForgetsInstances(t *testing.T) {
 	for name, end := range map[string]func(f *separationFixture, w *leasedWorker){
