Leave out runs that a stall of their worker stretched

Runs at slow and failing workers are left out of the comparison, runs that were in progress during a stall were not. 1,000 jobs each with a run that a stall made 1.4 times as long gave that slowdown to the job type beside it.

TestStallsAreNoInterference fails without the change.

--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -168,7 +168,7 @@
 	if r.Kind == msg.ResultOK {
 		c.recordRun(now, a, w, r.RunTime)
 	}
-	c.recordColocation(now, a.job, a.task, w, r)
+	c.recordColocation(now, a, w, r)
 	c.applyResult(a.job, a.task, w, r)
 }
 
--- a/internal/core/entry/separation.go
+++ b/internal/core/entry/separation.go
@@ -120,11 +120,16 @@
 	return len(o.runs) >= 2 && (o.undeclared == 0 || o.undeclared == len(o.runs))
 }
 
+// soundDuring reports whether the worker is sound and has not been stalled during an attempt.
+func (w *worker) soundDuring(a *attempt) bool {
+	return !w.slowdown.slow() && !w.health.Quarantined() && !w.stalled && !w.reportedStalled && !a.sentAt.Before(w.stalledUntil)
+}
+
 // recordColocation records a task's run and, once all tasks of its job have ended, compares
 // them. Until then those that interference slows down are missing. Of a large job the first
 // tasks are compared: they are chosen whatever their run time.
-func (c *Core) recordColocation(now time.Time, j *job, task int, w *worker, r msg.Result) {
-	s := c.separations
+func (c *Core) recordColocation(now time.Time, a *attempt, w *worker, r msg.Result) {
+	s, j, task := c.separations, a.job, a.task
 	if s == nil || r.Kind != msg.ResultOK || !w.hello.Leased() {
 		return
 	}
@@ -145,7 +150,7 @@
 		return
 	}
 	j.observed.ended++
-	if task < interference.MaxRuns && r.Beside.Known && valid && !w.slowdown.slow() && !w.health.Quarantined() {
+	if task < interference.MaxRuns && r.Beside.Known && valid && w.soundDuring(a) {
 		j.observed.runs = append(j.observed.runs, service.run(w, t, r))
 		if t.DeclaredRunTime <= 0 {
 			j.observed.undeclared++
--- a/internal/core/entry/separation_test.go
+++ b/internal/core/entry/separation_test.go
@@ -236,3 +236,24 @@
 		})
 	}
 }
+
+// Guards against stalls of workers that count as the effect of the tasks there.
+func TestStallsAreNoInterference(t *testing.T) {
+	f := newSeparationFixture(t, true)
+	jobs := uint64(0)
+	pairs := f.runJobs(1000, func(int) time.Duration { return 100 * time.Millisecond }, func(w *leasedWorker, d msg.Dispatch) (time.Duration, colocation.Summary) {
+		took := float64(100*time.Millisecond) * math.Exp(0.15*f.rng.NormFloat64())
+		if d.Attempt.Task != 0 || d.Attempt.Job == jobs {
+			return time.Duration(took), besideUrgent(false)
+		}
+		jobs = d.Attempt.Job
+		stalled := w.report()
+		stalled.Stalled, stalled.Room = true, msg.Size{}
+		w.covers = max(w.covers, d.Seq)
+		w.send(msg.Heartbeat{Report: stalled})
+		f.now = f.now.Add(time.Millisecond)
+		w.send(msg.Heartbeat{Report: w.report()})
+		return time.Duration(1.4 * took), besideUrgent(true)
+	})
+	f.c.Check(pairs, qt.HasLen, 0)
+}
--- a/internal/core/entry/stalled.go
+++ b/internal/core/entry/stalled.go
@@ -13,6 +13,7 @@
 	}
 	w.stalled = w.reportedStalled
 	if !w.stalled {
+		w.stalledUntil = c.now
 		// What the entry has observed meanwhile was the stall.
 		w.slowdown = slowdown{}
 		c.emit(WorkerJudged{Worker: w.name, Health: verdict.Sound})
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -53,6 +53,8 @@
 	// reportedStalled is set while the agent reports that the worker's tasks make no progress,
 	// stalled once the entry has acted on it.
 	reportedStalled, stalled bool
+	// stalledUntil is when the latest stall ended.
+	stalledUntil time.Time
 	// speed is nil unless the core learns speeds.
 	speed *speed.Worker
 	// crashed is set from a crash of the worker until it takes tasks again.
