Leave out tasks with an affinity when runs are compared

A task takes longer away from its data, and what ran beside it there got the blame, as packages speed and estimate already avoid.

TestTasksWithAnAffinityAreNotCompared fails without the change.

--- a/internal/core/entry/separation.go
+++ b/internal/core/entry/separation.go
@@ -146,7 +146,7 @@
 		s.rejected.Worker = w.name
 		s.rejected.Count++
 	}
-	if len(j.spec.Steps) > 1 {
+	if len(j.spec.Steps) > 1 || j.step(task).Affinity != "" {
 		return
 	}
 	j.observed.ended++
--- a/internal/core/entry/separation_test.go
+++ b/internal/core/entry/separation_test.go
@@ -19,6 +19,8 @@
 	*fixture
 	rng     *rand.Rand
 	workers map[entry.LinkID]*leasedWorker
+	// steps are those of the jobs of runJobs.
+	steps []entry.Step
 }
 
 func newSeparationFixture(t *testing.T, enabled bool) *separationFixture {
@@ -29,7 +31,7 @@
 		AckDelay: 100 * time.Millisecond, RunLimit: time.Minute, MaxQueued: 100_000, MaxTasks: 1000, MaxPayload: 100,
 		SeparateJobTypes: enabled,
 	})
-	s := &separationFixture{f, rand.New(rand.NewPCG(1, 1)), make(map[entry.LinkID]*leasedWorker)}
+	s := &separationFixture{fixture: f, rng: rand.New(rand.NewPCG(1, 1)), workers: make(map[entry.LinkID]*leasedWorker)}
 	f.step(entry.SetPolicy{Policy: leasedPolicy()})
 	for i := range 8 {
 		w := f.linkLeased(fmt.Sprint("w", i), 32)
@@ -163,7 +165,7 @@
 	for range jobs {
 		f.now = f.now.Add(20 * time.Millisecond)
 		f.jobs++
-		j := entry.Job{ID: f.jobs, Service: "s", JobType: "patient", Account: "a", Deadline: f.now.Add(10 * time.Second)}
+		j := entry.Job{ID: f.jobs, Service: "s", JobType: "patient", Account: "a", Deadline: f.now.Add(10 * time.Second), Steps: f.steps}
 		for i := range 4 {
 			j.Tasks = append(j.Tasks, entry.Task{DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: declared(i)})
 		}
@@ -257,3 +259,18 @@
 	})
 	f.c.Check(pairs, qt.HasLen, 0)
 }
+
+// Guards against tasks that take longer away from their data, which counts as the effect of
+// the tasks there.
+func TestTasksWithAnAffinityAreNotCompared(t *testing.T) {
+	f := newSeparationFixture(t, true)
+	f.steps = []entry.Step{{Affinity: "data"}}
+	pairs := f.runJobs(1000, func(int) time.Duration { return 100 * time.Millisecond }, func(_ *leasedWorker, d msg.Dispatch) (time.Duration, colocation.Summary) {
+		took := float64(100*time.Millisecond) * math.Exp(0.15*f.rng.NormFloat64())
+		if d.Attempt.Task > 0 {
+			return time.Duration(took), besideUrgent(false)
+		}
+		return time.Duration(1.4 * took), besideUrgent(true)
+	})
+	f.c.Check(pairs, qt.HasLen, 0)
+}
