Compare runs by the learned speeds of workers where there are any

With placement.learn_speeds, the run times that package interference compares are divided by the slowness of the worker's learned speed. Its own mean over 200 runs follows a lasting change of a speed too late: a worker that became three times as slow for good gave a slowdown of 2.6 to the job type beside its tasks. The speed known before the run is used, so that a run does not explain itself.

TestLearnedSpeedsAreNoInterference fails without the change. The tests of separation go through the workers in a fixed order now.

--- a/internal/core/entry/attempts.go
+++ b/internal/core/entry/attempts.go
@@ -165,10 +165,12 @@
 		c.holdUsage(a)
 	}
 	c.charge(a.job, r.RunTime)
+	// The run may change what is known of the worker's speed.
+	slowness := w.speed.Slowness()
 	if r.Kind == msg.ResultOK {
 		c.recordRun(now, a, w, r.RunTime)
 	}
-	c.recordColocation(now, a, w, r)
+	c.recordColocation(now, a, w, r, slowness)
 	c.applyResult(a.job, a.task, w, r)
 }
 
--- a/internal/core/entry/separation.go
+++ b/internal/core/entry/separation.go
@@ -127,8 +127,9 @@
 
 // recordColocation records a task's run and, once all tasks of its job have ended, compares
 // them. Until then those that interference slows down are missing. Of a large job the first
-// tasks are compared: they are chosen whatever their run time.
-func (c *Core) recordColocation(now time.Time, a *attempt, w *worker, r msg.Result) {
+// tasks are compared: they are chosen whatever their run time. slowness is that of the worker's
+// learned speed, 1 if it is not learned.
+func (c *Core) recordColocation(now time.Time, a *attempt, w *worker, r msg.Result, slowness float64) {
 	s, j, task := c.separations, a.job, a.task
 	if s == nil || r.Kind != msg.ResultOK || !w.hello.Leased() {
 		return
@@ -151,7 +152,7 @@
 	}
 	j.observed.ended++
 	if task < interference.MaxRuns && r.Beside.Known && valid && w.soundDuring(a) {
-		j.observed.runs = append(j.observed.runs, service.run(w, t, r))
+		j.observed.runs = append(j.observed.runs, service.run(w, t, r, slowness))
 		if t.DeclaredRunTime <= 0 {
 			j.observed.undeclared++
 		}
@@ -165,9 +166,10 @@
 	j.observed.runs = nil
 }
 
-// run converts a result. The declared run time cancels out if it is the same for all tasks.
-func (s *separatedService) run(w *worker, t Task, r msg.Result) interference.Run {
-	run := interference.Run{Worker: w.name, Ratio: r.RunTime.Seconds(), Load: r.Beside.Load}
+// run converts a result. The declared run time cancels out if it is the same for all tasks, and
+// the ratio of the job type's run times to it always does.
+func (s *separatedService) run(w *worker, t Task, r msg.Result, slowness float64) interference.Run {
+	run := interference.Run{Worker: w.name, Ratio: r.RunTime.Seconds() / slowness, Load: r.Beside.Load}
 	if t.DeclaredRunTime > 0 {
 		run.Ratio /= t.DeclaredRunTime.Seconds()
 	}
--- a/internal/core/entry/separation_test.go
+++ b/internal/core/entry/separation_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,19 +21,26 @@
 	*fixture
 	rng     *rand.Rand
 	workers map[entry.LinkID]*leasedWorker
-	// steps are those of the jobs of runJobs.
-	steps []entry.Step
+	// steps, jobType, tasks and cores are those of the jobs of runJobs.
+	steps   []entry.Step
+	jobType string
+	tasks   int
+	cores   float64
 }
 
 func newSeparationFixture(t *testing.T, enabled bool) *separationFixture {
+	return newSeparationFixtureOf(t, enabled, false)
+}
+
+func newSeparationFixtureOf(t *testing.T, enabled, learnSpeeds bool) *separationFixture {
 	f := &fixture{c: qt.New(t), now: time.Unix(1000, 0), clock: time.Minute}
 	f.core = entry.New(entry.Config{
 		Name: "e", Incarnation: entryIncarnation, StartWindow: 2 * time.Second,
 		SuspectAfter: 5 * time.Minute, LostAfter: 10 * time.Minute, HeartbeatInterval: time.Second,
 		AckDelay: 100 * time.Millisecond, RunLimit: time.Minute, MaxQueued: 100_000, MaxTasks: 1000, MaxPayload: 100,
-		SeparateJobTypes: enabled,
+		SeparateJobTypes: enabled, LearnSpeeds: learnSpeeds,
 	})
-	s := &separationFixture{fixture: f, rng: rand.New(rand.NewPCG(1, 1)), workers: make(map[entry.LinkID]*leasedWorker)}
+	s := &separationFixture{fixture: f, rng: rand.New(rand.NewPCG(1, 1)), workers: make(map[entry.LinkID]*leasedWorker), jobType: "patient", tasks: 4, cores: 3}
 	f.step(entry.SetPolicy{Policy: leasedPolicy()})
 	for i := range 8 {
 		w := f.linkLeased(fmt.Sprint("w", i), 32)
@@ -42,7 +51,8 @@
 
 // endAll ends dispatches. Tasks of "patient" take a third longer beside one of "urgent".
 func (f *separationFixture) endAll(dispatches map[entry.LinkID][]msg.Dispatch) {
-	for link, w := range f.workers {
+	for _, link := range slices.Sorted(maps.Keys(f.workers)) {
+		w := f.workers[link]
 		for _, d := range dispatches[link] {
 			beside := colocation.Summary{Known: true, Load: 0.5}
 			took := 0.1 * math.Exp(0.15*f.rng.NormFloat64())
@@ -159,19 +169,20 @@
 	f.c.Check([]int{answered, rejected}, qt.DeepEquals, []int{1, 1})
 }
 
-// runJobs runs jobs of four tasks of which run changes the run time and says what ran beside
-// it, and returns the pairs that are separated.
+// runJobs runs jobs whose tasks end at once; run says for how long they ran and what ran beside
+// them. It returns the pairs that are separated.
 func (f *separationFixture) runJobs(jobs int, declared func(task int) time.Duration, run func(w *leasedWorker, d msg.Dispatch) (time.Duration, colocation.Summary)) []entry.SeparatedPair {
 	for range jobs {
 		f.now = f.now.Add(20 * time.Millisecond)
 		f.jobs++
-		j := entry.Job{ID: f.jobs, Service: "s", JobType: "patient", Account: "a", Deadline: f.now.Add(10 * time.Second), Steps: f.steps}
-		for i := range 4 {
-			j.Tasks = append(j.Tasks, entry.Task{DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: declared(i)})
+		j := entry.Job{ID: f.jobs, Service: "s", JobType: f.jobType, Account: "a", Deadline: f.now.Add(10 * time.Second), Steps: f.steps}
+		for i := range f.tasks {
+			j.Tasks = append(j.Tasks, entry.Task{DeclaredSize: msg.Size{Cores: f.cores}, DeclaredRunTime: declared(i)})
 		}
 		f.step(entry.Submit{Job: j})
 		dispatches := f.dispatched()
-		for link, w := range f.workers {
+		for _, link := range slices.Sorted(maps.Keys(f.workers)) {
+			w := f.workers[link]
 			for _, d := range dispatches[link] {
 				took, beside := run(w, d)
 				w.covers = max(w.covers, d.Seq)
@@ -274,3 +285,22 @@
 	})
 	f.c.Check(pairs, qt.HasLen, 0)
 }
+
+// Guards against a lasting change of a worker's speed, which package speed has learned, that
+// counts as the effect of the tasks there.
+func TestLearnedSpeedsAreNoInterference(t *testing.T) {
+	f := newSeparationFixtureOf(t, true, true)
+	// Each job has a task at each worker.
+	f.jobType, f.tasks, f.cores = "urgent", 8, 20
+	pairs := f.runJobs(4000, func(int) time.Duration { return 100 * time.Millisecond }, func(w *leasedWorker, d msg.Dispatch) (time.Duration, colocation.Summary) {
+		took := float64(100*time.Millisecond) * math.Exp(0.15*f.rng.NormFloat64())
+		beside := colocation.Summary{Known: true, Load: 0.5}
+		if d.Attempt.Job > 500 && w.name == "w3" {
+			took *= 3
+			beside.Neighbours = []colocation.Neighbour{{Type: colocation.TypeIDOf("patient"), Mean: 1}}
+		}
+		return time.Duration(took), beside
+	})
+	f.c.Check(pairs, qt.HasLen, 0)
+	f.c.Check(f.core.Expected("s", "urgent", 100*time.Millisecond, "w3") > 200*time.Millisecond, qt.IsTrue)
+}
