--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -79,7 +79,7 @@
 		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration,
 		AckDelay:      s.Timing.AckDelay.Duration, RunLimit: s.Timing.RunLimit.Duration,
 		MaxQueued: s.Limits.MaxQueued, MaxTasks: s.Limits.MaxTasks, MaxPayload: s.Limits.MaxPayload.N,
-		LearnSpeeds: s.Placement.LearnSpeeds, ShedByJobType: s.Admission.ShedByJobType,
+		LearnSpeeds: s.Placement.LearnSpeeds, SeparateJobTypes: s.Placement.SeparateJobTypes, ShedByJobType: s.Admission.ShedByJobType,
 	}
 }
 
@@ -87,7 +87,7 @@
 	return agent.Config{
 		Worker: s.Worker, FailureDomain: s.FailureDomain, Incarnation: incarnation, Epoch: time.Time(clockEpoch),
 		ReleaseAfter: lease.ReleaseAfter(lease.Config{}), DetectStalls: s.DetectStalls,
-		ResultKeep:   s.Timing.ResultKeep.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
+		ResultKeep: s.Timing.ResultKeep.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
 		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration, EntrySilence: s.Timing.EntrySilence.Duration,
 		Evacuations: s.Evacuations,
 	}
--- a/internal/core/agent/agent.go
+++ b/internal/core/agent/agent.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/poplarlever/poplarlever/internal/core/colocation"
 	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/invariant"
@@ -93,6 +94,8 @@
 	outcomes    outcomeCounter
 	stall       stallState
 	crashes     crashLog
+	// colocation is nil while no entry asks for it.
+	colocation  *colocation.Tracker
 	evacuations evacuation.State
 	out         []Output
 }
@@ -205,6 +208,7 @@
 	c.closeSilentLinks(now)
 	c.stopOrphans(now)
 	c.checkStall(now)
+	c.setColocation(now)
 	c.closeDrainedLinks(now)
 	c.startWaiting(now)
 	for _, e := range c.entries.linked {
--- a/internal/core/entry/entry.go
+++ b/internal/core/entry/entry.go
@@ -67,6 +67,9 @@
 	MaxTasks int
 	// MaxPayload is the largest payload of a task, in bytes.
 	MaxPayload int
+	// SeparateJobTypes makes the entry learn which job types slow each other down and prefer
+	// different workers for them.
+	SeparateJobTypes bool
 }
 
 // defaultProbeAfter is above StartWindow, after which an attempt that has not started
@@ -118,6 +121,8 @@
 	discardedRunTimes uint64
 	// estimates is nil unless the core learns run times and speeds.
 	estimates *estimate.Estimator
+	// separations is nil unless Config.SeparateJobTypes is set.
+	separations *separations
 	// messageDelay is the mean delay of the latest messages from agents, in seconds.
 	messageDelay float64
 	latestDelay  time.Duration
@@ -138,14 +143,15 @@
 	cfg.IdleHeartbeat = max(cfg.IdleHeartbeat, cfg.HeartbeatInterval)
 	usage := limits.NewLedger()
 	return &Core{
-		estimates: newEstimates(cfg),
-		cfg:       cfg,
-		usage:     usage,
-		rng:       rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation))),
-		jobs:      make(map[uint64]*job),
-		attempts:  make(map[msg.AttemptID]*attempt),
-		queue:     newQueue(usage),
-		workers:   newWorkerSet(),
+		cfg:         cfg,
+		usage:       usage,
+		rng:         rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Incarnation))),
+		jobs:        make(map[uint64]*job),
+		attempts:    make(map[msg.AttemptID]*attempt),
+		queue:       newQueue(usage),
+		workers:     newWorkerSet(),
+		estimates:   newEstimates(cfg),
+		separations: newSeparations(cfg.SeparateJobTypes),
 	}
 }
 
@@ -220,6 +226,7 @@
 	c.expireEvacuationRefusals(now)
 	c.refuseEvacuated()
 	c.checkOverdue(now)
+	c.checkSeparations(now)
 	c.dispatchQueued(now)
 	c.flushRevokes(now)
 }
@@ -245,6 +252,7 @@
 	invariant.Check(p.Revision > c.policy.Revision, invariant.RevisionForward, "entry %s goes from table revision %d to %d", c.cfg.Name, c.policy.Revision, p.Revision)
 	c.policy, c.mostUrgent = p, mostUrgent(p)
 	c.applyAllotments()
+	c.separations.applyPolicy(p)
 	for _, w := range c.workers.list {
 		if w.linked() && w.revision < p.Revision {
 			c.sendTable(now, w)
@@ -286,6 +294,7 @@
 	}
 	return msg.Welcome{
 		Entry: c.cfg.Name, Incarnation: c.cfg.Incarnation, Peers: peers, Revision: c.policy.Revision,
+		ColocationEvery: c.separations.colocationEvery(),
 	}
 }
 
--- a/internal/core/entry/evacuation.go
+++ b/internal/core/entry/evacuation.go
@@ -134,7 +134,7 @@
 		}
 		for _, j := range c.orderedJobs() {
 			if j.spec.Service == name && j.running == 0 && j.jobVerdict() == verdict.NotRun {
-				c.decideEnd(j, c.evacuatedAnswer(Failed))
+				c.decideEnd(j, evacuatedAnswer(Failed, c.retryAfterEvacuation()))
 			}
 		}
 	}
@@ -150,16 +150,22 @@
 }
 
 // evacuatedAnswer returns the refusal of a job whose workers are all evacuated.
-func (c *Core) evacuatedAnswer(outcome Outcome) Answer {
+func evacuatedAnswer(outcome Outcome, retryAfter time.Duration) Answer {
 	return Answer{
 		Outcome: outcome, Verdict: verdict.NotRun, Reason: verdict.AllEvacuated,
-		Message: "every worker of the service is in an evacuated failure domain", RetryAfter: c.retryAfterEvacuation(),
+		Message: "every worker of the service is in an evacuated failure domain", RetryAfter: retryAfter,
 	}
 }
 
+// minEvacuationRetry and maxEvacuationRetry bound the time after which a caller may come back.
+const (
+	minEvacuationRetry = time.Second
+	maxEvacuationRetry = 2 * time.Second
+)
+
 // retryAfterEvacuation returns a time between one and two seconds. Half of the callers get the
 // shortest one: an adapter that rounds up to whole seconds would otherwise give all the same.
 func (c *Core) retryAfterEvacuation() time.Duration {
-	const spread = time.Second
-	return time.Second + max(0, time.Duration(c.rng.Int64N(int64(2*spread)))-spread)
+	const spread = maxEvacuationRetry - minEvacuationRetry
+	return minEvacuationRetry + max(0, time.Duration(c.rng.Int64N(int64(2*spread)))-spread)
 }
--- a/internal/core/entry/io.go
+++ b/internal/core/entry/io.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/evacuation"
+	"github.com/poplarlever/poplarlever/internal/core/interference"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
@@ -226,6 +227,17 @@
 	Workers int
 }
 
+// JobTypesSeparated reports that the tasks of two job types prefer different workers from
+// now on, or no longer do.
+type JobTypesSeparated interference.Pair
+
+// ColocationRejected reports results with invalid values about what ran beside their tasks.
+// The results count, these values do not. Worker is the latest one that sent some.
+type ColocationRejected struct {
+	Worker string
+	Count  int
+}
+
 func (Send) output()               {}
 func (CloseLink) output()          {}
 func (Answered) output()           {}
@@ -241,6 +253,8 @@
 func (WorkerSpeedLearned) output() {}
 func (WorkerDegraded) output()     {}
 func (RunTimeDiscarded) output()   {}
+func (JobTypesSeparated) output()  {}
+func (ColocationRejected) output() {}
 
 // Outcome says how a job ended.
 type Outcome uint8
--- a/internal/core/entry/learning.go
+++ b/internal/core/entry/learning.go
@@ -25,17 +25,20 @@
 // trackSpeed is called before the description of a worker is replaced. A worker that comes
 // back after it left, or that serves another service, is another instance.
 func (c *Core) trackSpeed(w *worker, h msg.Hello) {
-	if c.estimates == nil || !h.Leased() {
+	if !h.Leased() {
 		return
 	}
-	if w.speed != nil && (w.hello.Service != h.Service || w.state == workerLeaving && !h.Leaving) {
+	if w.hello.Service != h.Service || w.state == workerLeaving && !h.Leaving {
 		c.forgetSpeed(w)
 	}
-	w.speed = c.estimates.Worker(h.Service, w.name)
+	if c.estimates != nil {
+		w.speed = c.estimates.Worker(h.Service, w.name)
+	}
 }
 
 // forgetSpeed discards what is known of a worker whose instance has ended.
 func (c *Core) forgetSpeed(w *worker) {
+	c.separations.forgetWorker(w)
 	if w.speed != nil {
 		c.estimates.Forget(w.hello.Service, w.name)
 		w.speed = nil
@@ -73,6 +76,13 @@
 	}
 }
 
+// previewEstimate sets what a job that is not admitted would know of its run times.
+func (c *Core) previewEstimate(j *job) {
+	if c.estimates != nil {
+		j.estimate, j.objective = c.estimates.Preview(j.spec.Service, j.spec.JobType, len(j.tasks)), j.policy.objective(j.spec)
+	}
+}
+
 // expectEnd records a dispatch in the estimate of its job.
 func (c *Core) expectEnd(now time.Time, a *attempt) {
 	if c.estimates == nil {
@@ -231,11 +241,11 @@
 }
 
 // target returns by when a task needs to end for its job to be answered in time.
-func (c *Core) target(j *job, task int) estimate.Target {
+func (c *Core) target(p *pass, j *job, task int) estimate.Target {
 	if c.estimates == nil {
 		return estimate.Target{}
 	}
-	return j.estimate.Target(c.now, j.submittedAt, j.objective, j.spec.Tasks[task].DeclaredRunTime, c.MessageDelay())
+	return j.estimate.Target(p.now, j.submittedAt, j.objective, j.spec.Tasks[task].DeclaredRunTime, c.MessageDelay())
 }
 
 // endPenalty is what the expected end of a task subtracts from a worker's score. A slow
@@ -247,7 +257,7 @@
 		return 0
 	}
 	if w.slowdown.slow() {
-		if p.leaveOutSlow && j.restartable() && (t.AllowsTrial(w.speed) || c.now.Sub(w.slowdown.at) >= 2*trialDelay) {
+		if p.leaveOutSlow && j.restartable() && (t.AllowsTrial(w.speed) || p.now.Sub(w.slowdown.at) >= 2*trialDelay) {
 			return -w.slowdownPenalty()
 		}
 		return 0
--- a/internal/core/entry/overload.go
+++ b/internal/core/entry/overload.go
@@ -73,38 +73,55 @@
 // arriveHopeless records the arrival of a job, and refuses it if it is hopeless.
 func (c *Core) arriveHopeless(now time.Time, j *job) bool {
 	c.queue.account(j.spec.Service, j.spec.Account)
-	flow := &c.queue.services[j.spec.Service].flow
+	s := c.queue.services[j.spec.Service]
 	hopeless := c.hopeless(now, j)
-	if !j.confined {
-		flow.Arrived(now, j.cores(), j.policy.objective(j.spec).Longest)
-	}
+	s.arrived(now, j)
 	// Each job is recorded, whether it is hopeless or not.
 	shed := c.sheds(now, j)
 	switch {
 	case hopeless:
-		c.refuseFull(now, j, verdict.WouldMissDeadline, "no worker is expected to have room in time")
+		c.emit(Answered{Job: j.spec.ID, Answer: hopelessAnswer(c.retryAfterRoom(now, j.spec.Service))})
 	case shed:
-		c.refuseFull(now, j, verdict.Shed, "the service is full, and jobs of this type give way")
+		c.emit(Answered{Job: j.spec.ID, Answer: shedAnswer(c.retryAfterRoom(now, j.spec.Service))})
 	}
 	return hopeless || shed
 }
 
-// refuseFull refuses a job that has just arrived at a full service.
-func (c *Core) refuseFull(now time.Time, j *job, reason verdict.Reason, message string) {
-	c.emit(Answered{Job: j.spec.ID, Answer: Answer{
-		Outcome: Refused, Verdict: verdict.NotRun, Reason: reason, Message: message, RetryAfter: c.retryAfterRoom(now, j.spec.Service),
-	}})
+// arrived records the arrival of a job in the forecast of its service.
+func (s *serviceQueue) arrived(now time.Time, j *job) {
+	if !j.confined {
+		s.flow.Arrived(now, j.cores(), j.policy.objective(j.spec).Longest)
+	}
 }
 
-// sheds reports whether a job that has just arrived gives way to others.
+// sheds records a job that has just arrived and reports whether it gives way to others.
 func (c *Core) sheds(now time.Time, j *job) bool {
-	if !c.cfg.ShedByJobType || j.latestStart.IsZero() || j.confined || !j.sized() {
+	if !c.mayShed(j) {
 		return false
 	}
 	s := c.queue.services[j.spec.Service]
-	return !s.shedder.Admit(now, shedding.Job{
+	return !s.shedder.Admit(now, j.shedding(now), s.flow.Wait(s.coresInTime()))
+}
+
+// wouldShed reports whether a job gives way to others that has arrived in a copy of its
+// service's queue. It changes nothing.
+func (c *Core) wouldShed(now time.Time, s *serviceQueue, j *job) bool {
+	if !c.mayShed(j) {
+		return false
+	}
+	return !s.shedder.Admits(now, j.shedding(now), s.flow.Wait(s.coresInTime()))
+}
+
+// mayShed reports whether jobs like this one give way to others in an overload.
+func (c *Core) mayShed(j *job) bool {
+	return c.cfg.ShedByJobType && !j.latestStart.IsZero() && !j.confined && j.sized()
+}
+
+// shedding describes a job that has just arrived to package shedding.
+func (j *job) shedding(now time.Time) shedding.Job {
+	return shedding.Job{
 		Type: j.spec.JobType, Priority: j.policy.Priority, Work: j.declaredWork(), MaxWait: j.latestStart.Sub(now),
-	}, s.flow.Wait(s.coresInTime()))
+	}
 }
 
 // declaredWork returns the work of the job's tasks in core-seconds.
@@ -116,6 +133,22 @@
 	return sum
 }
 
+// hopelessAnswer and shedAnswer are the refusals of a job that comes while its service is
+// full.
+func hopelessAnswer(retryAfter time.Duration) Answer {
+	return Answer{
+		Outcome: Refused, Verdict: verdict.NotRun, Reason: verdict.WouldMissDeadline,
+		Message: "no worker is expected to have room in time", RetryAfter: retryAfter,
+	}
+}
+
+func shedAnswer(retryAfter time.Duration) Answer {
+	return Answer{
+		Outcome: Refused, Verdict: verdict.NotRun, Reason: verdict.Shed,
+		Message: "the service is full, and jobs of this type give way", RetryAfter: retryAfter,
+	}
+}
+
 // firstTimeout returns when the job's timer first fires.
 func (j *job) firstTimeout() time.Time {
 	if j.latestStart.IsZero() || j.spec.Deadline.Before(j.latestStart) {
@@ -189,7 +222,7 @@
 	if j.confined {
 		return !c.cellInUse(j.spec.Service)
 	}
-	s := c.queue.services[j.spec.Service]
+	s := c.queue.service(j.spec.Service)
 	if s.flow.Wait(s.coresAhead(j)) <= j.latestStart.Sub(now) {
 		return false
 	}
@@ -199,7 +232,7 @@
 // lateWait returns the time until the last task of the job finds room behind the jobs that
 // are in time.
 func (c *Core) lateWait(now time.Time, j *job) time.Duration {
-	s := c.queue.services[j.spec.Service]
+	s := c.queue.service(j.spec.Service)
 	return s.flow.WaitBehind(now, s.coresAhead(j)+j.cores())
 }
 
@@ -222,13 +255,17 @@
 // retryAfterRoom returns when a refused caller may come back: once the backlog is expected
 // to be gone. Callers that are refused together come back over as long a time again.
 func (c *Core) retryAfterRoom(now time.Time, service string) time.Duration {
-	s := c.queue.services[service]
+	wait := c.queue.service(service).roomWait(now)
+	return wait + time.Duration(c.rng.Int64N(int64(wait)))
+}
+
+// roomWait returns the least time after which a refused caller may come back.
+func (s *serviceQueue) roomWait(now time.Time) time.Duration {
 	backlog := 0.0
 	for _, a := range s.accounts {
 		for _, j := range a.jobs {
 			backlog += j.queuedCores()
 		}
 	}
-	wait := min(max(s.flow.WaitBehind(now, backlog), minRetryAfter), maxRetryAfter)
-	return wait + time.Duration(c.rng.Int64N(int64(wait)))
+	return min(max(s.flow.WaitBehind(now, backlog), minRetryAfter), maxRetryAfter)
 }
--- a/internal/core/entry/pass.go
+++ b/internal/core/entry/pass.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
 // Under overload jobs keep coming while the workers are full, so that every message from
@@ -15,6 +16,7 @@
 
 // pass holds what one pass over a service's queue knows of its leased workers.
 type pass struct {
+	now time.Time
 	// workers lists those that may get a task.
 	workers []*worker
 	// totalCores counts the cores of all usable workers of the service times their speeds,
@@ -34,7 +36,7 @@
 // newPass gathers the leased workers of a service. A quarantined or slow worker is listed
 // when a trial task is due.
 func (c *Core) newPass(now time.Time, service string) pass {
-	p := pass{}
+	p := pass{now: now}
 	usable, slow := 0, 0
 	for _, w := range c.workers.list {
 		if !w.usable() || w.hello.Service != service {
@@ -52,7 +54,7 @@
 	}
 	p.leaveOutSlow = slow <= max(1, usable/slowDivisor)
 	for _, w := range c.workers.list {
-		if !w.usable() || !w.hello.Leased() || w.hello.Service != service || !w.eligible(now) || p.leaveOutSlow && w.excludedAsSlow(now) {
+		if !w.hello.Leased() || w.hello.Service != service || w.rule(now, p.leaveOutSlow) != 0 {
 			continue
 		}
 		p.workers = append(p.workers, w)
@@ -61,6 +63,29 @@
 	return p
 }
 
+// rule returns the rule by which the worker gets no task, or zero.
+func (w *worker) rule(now time.Time, leaveOutSlow bool) verdict.PlacementRule {
+	switch {
+	case !w.linked():
+		return verdict.WorkerUnlinked
+	case w.state == workerLeaving:
+		return verdict.WorkerGoing
+	case w.state != workerUp:
+		return verdict.WorkerSilent
+	case w.evacuated:
+		return verdict.WorkerEvacuated
+	case !w.refusedUntil.IsZero():
+		return verdict.EvacuationReported
+	case !w.usable():
+		return verdict.NoRoom
+	case !w.eligible(now):
+		return verdict.WorkerOnTrial
+	case w.hello.Leased() && leaveOutSlow && w.excludedAsSlow(now):
+		return verdict.WorkerSlow
+	}
+	return 0
+}
+
 // placed records that a worker got a task. A worker on trial gets no other.
 func (p *pass) placed(w *worker, cores float64) {
 	p.freeCores -= cores * w.speed.Speed()
@@ -71,6 +96,11 @@
 	}
 }
 
+// reserve sets the cores that late jobs may take.
+func (p *pass) reserve(s *serviceQueue) {
+	p.lateCores = p.freeCores - s.flow.Reserve(p.totalCores-p.freeCores)
+}
+
 // lowerMaxFree recomputes the bound after no worker in the list could take a task.
 func (p *pass) lowerMaxFree() {
 	p.maxFree = 0
@@ -90,7 +120,7 @@
 // find room.
 func (c *Core) dispatchService(now time.Time, name string, s *serviceQueue) {
 	s.pass = c.newPass(now, name)
-	s.pass.lateCores = s.pass.freeCores - s.flow.Reserve(s.pass.totalCores-s.pass.freeCores)
+	s.pass.reserve(s)
 	c.placeQueued(now, s)
 	waiting := s.inTimeWaiting()
 	s.flow.Pass(now, s.pass.placedCores, waiting)
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -3,7 +3,9 @@
 import (
 	"slices"
 
+	"github.com/poplarlever/poplarlever/internal/core/estimate"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
+	"github.com/poplarlever/poplarlever/internal/core/verdict"
 )
 
 // This file chooses the leased worker for a task: the one with the best score among those
@@ -26,18 +28,19 @@
 // pickLeased returns the leased worker for a task, or nil.
 func (c *Core) pickLeased(p *pass, j *job, task int) *worker {
 	size, step := j.spec.Tasks[task].DeclaredSize, j.step(task)
-	if p.tooLarge(j) || p.freeCores-size.Cores < c.reservedCores(p, j) || j.late && j.queuedCores() > p.lateCores {
+	if c.waitRule(p, j, size) != 0 {
 		return nil
 	}
 	var best *worker
 	bestScore, ties := 0.0, 0
 	p.examined += len(p.workers)
-	target := c.target(j, task)
+	preferred, separated := c.preferredWorkers(j)
+	target := c.target(p, j, task)
 	for _, w := range p.workers {
-		if !w.fits(size) || !w.allowed(j, task, step) || !w.mayTake(p, j, task, step) || !c.crashRulesAllow(w, j, task, step) {
+		if c.taskRule(p, w, j, task, step) != 0 {
 			continue
 		}
-		score := w.score(j, task, step) - w.cellScore(j) - c.endPenalty(w, p, &target, j)
+		score := c.score(p, w, j, step, &target, separated && !preferred.Contains(w.separationRank)).total()
 		switch {
 		case best == nil || score > bestScore:
 			best, bestScore, ties = w, score, 1
@@ -54,12 +57,36 @@
 	return best
 }
 
-// allowed reports whether the step's constraints let the task run at the worker.
-func (w *worker) allowed(j *job, task int, step Step) bool {
-	if !w.hasRequiredLabel(step) {
-		return false
+// waitRule returns the rule by which the job's next task waits whatever the workers, or zero.
+func (c *Core) waitRule(p *pass, j *job, size msg.Size) verdict.PlacementRule {
+	switch {
+	case p.tooLarge(j):
+		return verdict.NoRoom
+	case p.freeCores-size.Cores < c.reservedCores(p, j), j.late && j.queuedCores() > p.lateCores:
+		return verdict.ReservedRoom
 	}
-	return step.MaxPerWorker == 0 || j.runningAt(w, j.spec.Tasks[task].Step) < step.MaxPerWorker
+	return 0
+}
+
+// taskRule returns the rule by which the task does not start at a worker that may get tasks,
+// or zero.
+func (c *Core) taskRule(p *pass, w *worker, j *job, task int, step Step) verdict.PlacementRule {
+	switch {
+	case w.stalled && !w.fits(j.spec.Tasks[task].DeclaredSize):
+		// The agent reports room only while a trial task is due.
+		return verdict.NoProgress
+	case !w.fits(j.spec.Tasks[task].DeclaredSize):
+		return verdict.NoRoom
+	case !w.hasRequiredLabel(step):
+		return verdict.MissingLabel
+	case step.MaxPerWorker != 0 && j.runningAt(w, j.spec.Tasks[task].Step) >= step.MaxPerWorker:
+		return verdict.StepLimit
+	case !w.mayTake(p, j, task, step):
+		return verdict.FailedThere
+	case !c.crashRulesAllow(w, j, task, step):
+		return verdict.CrashRules
+	}
+	return 0
 }
 
 func (w *worker) hasRequiredLabel(step Step) bool {
@@ -77,18 +104,38 @@
 	remotePenalty = 0.25
 )
 
-// score prefers workers near the data, then fast ones with a large part of their
-// cores free.
-func (w *worker) score(j *job, task int, step Step) float64 {
-	score := -w.slowdownPenalty()
+// Score holds what a worker is worth for a task. The worker with the largest sum of Room and
+// Affinity less the others gets it.
+type Score struct {
+	// Room is the free part of the worker's cores, Affinity is set near the task's data.
+	Room, Affinity float64
+	// Slowdown, Remote, Failing, Cell, ExpectedEnd and Separation are subtracted. ExpectedEnd
+	// is negative for the trial task of a slow worker.
+	Slowdown, Remote, Failing, Cell, ExpectedEnd, Separation float64
+}
+
+func (s Score) total() float64 {
+	return -s.Slowdown - s.Remote + s.Room + s.Affinity - s.Failing - s.Cell - s.ExpectedEnd - s.Separation
+}
+
+// score prefers workers near the data, then those where the task ends in time or that are
+// fast, with a large part of their cores free.
+func (c *Core) score(p *pass, w *worker, j *job, step Step, t *estimate.Target, separated bool) Score {
+	s := Score{
+		Slowdown: w.slowdownPenalty(), Failing: failingPenalty * w.health.FailingShare(), Cell: w.cellScore(j),
+		ExpectedEnd: c.endPenalty(w, p, t, j),
+	}
 	if w.remote {
-		score -= remotePenalty
+		s.Remote = remotePenalty
 	}
 	if w.hello.Size.Cores > 0 {
-		score += w.room.Cores / w.hello.Size.Cores
+		s.Room = w.room.Cores / w.hello.Size.Cores
 	}
 	if step.Affinity != "" && w.hasLabel(step.Affinity) {
-		score += affinityScore
+		s.Affinity = affinityScore
+	}
+	if separated {
+		s.Separation = separationScore
 	}
-	return score - failingPenalty*w.health.FailingShare()
+	return s
 }
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -53,6 +53,8 @@
 	// reportedStalled is set while the agent reports that the worker's tasks make no progress,
 	// stalled once the entry has acted on it.
 	reportedStalled, stalled bool
+	// stalledUntil is when the latest stall ended.
+	stalledUntil time.Time
 	// speed is nil unless the core learns speeds.
 	speed *speed.Worker
 	// crashed is set from a crash of the worker until it takes tasks again.
@@ -65,6 +67,8 @@
 	refusedUntil time.Time
 	// inCell is set for a worker that tasks of confined job types may use.
 	inCell bool
+	// separationRank is the worker's place in the order of package separation.
+	separationRank float64
 	// reported is when the newest report arrived.
 	reported time.Time
 	// seq is the Seq of the latest dispatch. It starts above every Seq that an earlier
@@ -264,7 +268,7 @@
 	var best *worker
 	ties := 0
 	for _, w := range s.list {
-		if !w.usable() || w.hello.Leased() || w.hello.Service != service || !w.eligible(now) {
+		if w.hello.Leased() || w.hello.Service != service || w.rule(now, false) != 0 {
 			continue
 		}
 		switch {
@@ -362,6 +366,7 @@
 	w.evacuated = c.evacuations.Evacuated(h.FailureDomain)
 	c.noteCrashes(now, w, h.Crashes)
 	c.markCells()
+	c.separations.workersChanged()
 }
 
 func (c *Core) linkDown(now time.Time, id LinkID) {
@@ -453,6 +458,7 @@
 	}
 	if len(lost) > 0 {
 		c.markCells()
+		c.separations.workersChanged()
 	}
 }
 
--- a/internal/core/estimate/estimate.go
+++ b/internal/core/estimate/estimate.go
@@ -113,6 +113,15 @@
 	return Job{dist: e.types.Of(service, jobType), speed: e.service(service), tasks: tasks}
 }
 
+// Preview returns what Job would return. It records nothing.
+func (e *Estimator) Preview(service, jobType string, tasks int) Job {
+	s := e.services[service]
+	if s == nil {
+		s = speed.New()
+	}
+	return Job{dist: e.types.Known(service, jobType), speed: s, tasks: tasks}
+}
+
 // known reports whether the job has an estimate.
 func (j *Job) known() bool { return j.dist != nil }
 
--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -143,6 +143,17 @@
 	return false
 }
 
+// Admits reports whether Admit would admit the job now. It records nothing.
+func (s *Shedder) Admits(now time.Time, j Job, backlog time.Duration) bool {
+	trial := *s
+	trial.types, trial.order = maps.Clone(s.types), slices.Clone(s.order)
+	if t := s.types[j.Type]; t != nil {
+		record := *t
+		trial.types[j.Type] = &record
+	}
+	return trial.Admit(now, j, backlog)
+}
+
 // average adds the present backlog to the mean one.
 func (s *Shedder) average(now time.Time, backlog time.Duration) {
 	keep := math.Exp(-max(0, now.Sub(s.backlogAt).Seconds()) / backlogHorizon.Seconds())
--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -173,6 +173,11 @@
 		case entry.EvacuationChanged:
 			logevent.EvacuationChanged.Log(l.log, zap.String("domain", out.Name), zap.Bool("evacuated", out.Evacuated),
 				zap.Uint64("version", out.Version), zap.Int("workers", out.Workers))
+		case entry.JobTypesSeparated:
+			logevent.PairSeparated.Log(l.log, zap.String("service", out.Service), zap.String("job_type", out.JobType), zap.String("neighbour", out.Neighbour),
+				zap.Bool("separated", out.Separated), zap.Float64("slowdown", out.Slowdown), zap.Float64("low", out.Low), zap.Int("runs", out.Runs))
+		case entry.ColocationRejected:
+			logevent.BesideRejected.Log(l.log, zap.String("worker", out.Worker), zap.Int("count", out.Count))
 		case entry.JobEnding:
 			if w, ok := l.waiters[out.Job]; ok {
 				logevent.JobEnding.Log(l.log, zap.String("job", w.name), zap.Stringer("reason", out.Reason),
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -48,6 +48,8 @@
 	RunTimeDiscarded = define(2023, "run_time_discarded", zap.WarnLevel, "an agent reported a run time that cannot be one")
 	JobEnding        = define(2010, "job_ending", zap.InfoLevel, "a job's end is decided while tasks of it are outstanding")
 	EntryLoad        = define(2009, "entry_load", zap.InfoLevel, "jobs, messages and delays of the last second")
+	PairSeparated    = define(2031, "job_types_separated", zap.InfoLevel, "whether two job types that slow each other down prefer different workers changed")
+	BesideRejected   = define(2032, "colocation_rejected", zap.WarnLevel, "results had invalid values about what ran beside their tasks")
 	EntryLinked      = define(3001, "entry_linked", zap.InfoLevel, "an entry accepted the link")
 	EntryUnlinked    = define(3002, "entry_unlinked", zap.WarnLevel, "the link to an entry broke or could not be opened")
 	EndpointJoined   = define(3003, "endpoint_joined", zap.InfoLevel, "the endpoint announced itself")
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -57,6 +57,7 @@
 		{"timing.run_limit", "Longest time that an endpoint may take for one task.", &s.Timing.RunLimit, durationBetween(&s.Timing.RunLimit, minDuration, 24*time.Hour), ""},
 		{"admission.shed_by_job_type", "true lets jobs give way on arrival while their service is full: those of types that send more than usual, and of less urgent types. For services whose callers compete.", &s.Admission.ShedByJobType, func() error { return nil }, ""},
 		{"placement.learn_speeds", "true learns how fast the workers are and how run times compare with the declared ones, and places, stops and judges by it. For services whose workers differ in speed for good.", &s.Placement.LearnSpeeds, func() error { return nil }, ""},
+		{"placement.separate_job_types", "Learn which job types slow each other down on a leased worker, and prefer different workers for them. No task waits or is refused for it.", &s.Placement.SeparateJobTypes, func() error { return nil }, ""},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -144,6 +144,8 @@
 type EntryPlacement struct {
 	// LearnSpeeds lets the entry learn run times and workers' speeds and decide by them.
 	LearnSpeeds bool `toml:"learn_speeds"`
+	// SeparateJobTypes prefers different workers for job types that slow each other down.
+	SeparateJobTypes bool `toml:"separate_job_types"`
 }
 
 // EntryTiming holds an entry's timeouts and intervals.
--- a/internal/telemetry/gauges.go
+++ b/internal/telemetry/gauges.go
@@ -27,6 +27,8 @@
 	TableRejected bool
 	// EvacuatedDomains is the number of failure domains whose evacuation is in force.
 	EvacuatedDomains int
+	// SeparatedPairs and ObservedPairs count pairs of job types.
+	SeparatedPairs, ObservedPairs int
 	// MessageDelay is how late the entry reads the messages of its agents.
 	MessageDelay time.Duration
 	// LearnedWorkers is the number of workers whose speed is learned.
@@ -49,6 +51,8 @@
 		evacuatedDomains: func(g Gauges) int64 { return int64(g.EvacuatedDomains) },
 		storeReachable:   func(g Gauges) int64 { return boolToInt64(g.StoreReachable) },
 		learnedWorkers:   func(g Gauges) int64 { return int64(g.LearnedWorkers) },
+		separatedPairs:   func(g Gauges) int64 { return int64(g.SeparatedPairs) },
+		observedPairs:    func(g Gauges) int64 { return int64(g.ObservedPairs) },
 	}
 	var instruments []metric.Observable
 	gauges := make(map[metric.Int64ObservableGauge]func(Gauges) int64)
