Mend the notice of stalls after pauses, failures and restarts

- A pause of the agent, or a time in which the worker was not ready, took away the evidence of the tasks that run: no stall was noticed after it.
An end that was read before the pause was left out counted as one of the future.
Times are now those of a clock that stands still meanwhile.
- A failed trial task, which the worker may have refused as malformed, brought the worker back, and run times of failures were learned.
- A new instance ended the stall without WorkerStalled{}, so that the log had no end of it.
- Each tick walked all attempts of the agent in map order and allocated a map once no task had ended for 200 ms.
The detector keeps the running tasks in order; a check allocates nothing.
- A 1,025th job type made it forget all; it forgets those used least.

The tests of the package use its new interface: TestTrialTasks and TestPauses check more than before, TestManyTypes replaces its bound on types.

--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -32,9 +32,8 @@
 	expires time.Time
 	result  msg.Result
 	size    msg.Size
-	// taskName and jobType are those of a task at a leased worker, which started at startedAt.
+	// taskName and jobType are those of a task at a leased worker.
 	taskName, jobType string
-	startedAt         time.Time
 	// stopping is set once a StopTask was emitted for the running attempt.
 	stopping bool
 }
@@ -118,9 +117,9 @@
 	if e.running++; e.running == 1 {
 		e.busySince = now
 	}
-	c.attempts[d.Attempt] = &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size, taskName: d.TaskName, jobType: d.JobType, startedAt: now}
+	c.attempts[d.Attempt] = &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size, taskName: d.TaskName, jobType: d.JobType}
 	c.running++
-	c.stall.detector.Started(now)
+	c.recordStart(now, d.Attempt, d.JobType)
 	c.used = c.used.Plus(d.Size)
 	c.checkUsage(d.Size)
 	name := msg.EndpointTaskName(c.cfg.Incarnation, d.Attempt)
@@ -263,7 +262,7 @@
 	}
 	// Waiting attempts take the room before it is reported.
 	c.startWaiting(now)
-	c.recordProgress(now, a)
+	c.recordProgress(now, a.result)
 	c.recordOutcome(now, a.result)
 	owner := c.entries.link(in.Attempt.Entry)
 	c.grantFreedSlots(now, owner)
--- a/internal/core/agent/leased.go
+++ b/internal/core/agent/leased.go
@@ -103,6 +103,7 @@
 		return false
 	}
 	a.stopping = true
+	c.stall.detector.Stopping(id)
 	c.emit(StopTask{Attempt: id})
 	return true
 }
--- a/internal/core/agent/stall.go
+++ b/internal/core/agent/stall.go
@@ -13,47 +13,56 @@
 
 // stallState is the state of the worker's progress.
 type stallState struct {
-	detector stall.Detector
+	detector  stall.Detector
 	lastCheck time.Time
-	// running is reused by every check.
-	running []stall.Running
 }
 
+func (c *Core) detectsStalls() bool { return c.cfg.DetectStalls && c.endpoint.leased }
+
 // resetStall forgets the progress of an earlier instance of the worker.
-func (c *Core) resetStall() { c.stall.detector = stall.Detector{} }
+func (c *Core) resetStall() {
+	if c.stall.detector.Stalled() {
+		c.emit(WorkerStalled{})
+	}
+	c.stall.detector = stall.Detector{}
+}
 
 // maxTickGap is the time between ticks from which this process may have noticed ends late.
 const maxTickGap = 100 * time.Millisecond
 
 // checkStall looks for a stall, and tells every entry of one.
 func (c *Core) checkStall(now time.Time) {
-	if !c.cfg.DetectStalls || !c.endpoint.leased {
+	gap := now.Sub(c.stall.lastCheck)
+	first := c.stall.lastCheck.IsZero()
+	if c.stall.lastCheck = now; first || !c.detectsStalls() {
 		return
 	}
-	gap := now.Sub(c.stall.lastCheck)
-	c.stall.lastCheck = now
 	if gap >= maxTickGap || !c.endpoint.ready {
-		c.stall.detector.Excuse(gap)
+		c.stall.detector.Excuse(now, gap)
 	}
-	c.stall.running = c.stall.running[:0]
-	for id, a := range c.attempts {
-		if a.state == stateRunning && !a.stopping {
-			c.stall.running = append(c.stall.running, stall.Running{Owner: uint64(id.Entry), Job: id.Job, JobType: a.jobType, Started: a.startedAt})
-		}
-	}
-	if c.stall.detector.Check(now, c.stall.running) {
-		c.emit(WorkerStalled{Stalled: true, Attempts: len(c.stall.running)})
+	if c.stall.detector.Check(now) {
+		c.emit(WorkerStalled{Stalled: true, Attempts: c.stall.detector.Running()})
 		c.reportToAll(now)
 	}
 }
 
-// recordProgress records the end of an attempt. One that was stopped or never reached the
-// worker is no progress.
-func (c *Core) recordProgress(now time.Time, a *attempt) {
-	if !c.cfg.DetectStalls || !c.endpoint.leased || a.result.Kind != msg.ResultOK && a.result.Kind != msg.ResultEndpointError {
-		return
+// recordStart records an attempt that starts.
+func (c *Core) recordStart(now time.Time, id msg.AttemptID, jobType string) {
+	if c.detectsStalls() {
+		c.stall.detector.Started(now, id, jobType)
+	}
+}
+
+// recordProgress records the end of an attempt.
+func (c *Core) recordProgress(now time.Time, r msg.Result) {
+	end := stall.Stopped
+	switch r.Kind {
+	case msg.ResultOK:
+		end = stall.Completed
+	case msg.ResultEndpointError:
+		end = stall.Failed
 	}
-	if c.stall.detector.Ended(now, a.jobType, a.startedAt, a.result.RunTime) {
+	if c.stall.detector.Ended(now, r.Attempt, end) {
 		c.emit(WorkerStalled{})
 		c.reportToAll(now)
 	}
--- a/internal/core/stall/stall.go
+++ b/internal/core/stall/stall.go
@@ -9,16 +9,19 @@
 // The rule learns how long tasks of each job type run here. A sound worker with the tasks that
 // run would have been expected to end some of them since its latest end; when it would have
 // been improbable to end none, it is stalled. Tasks of one job count once, since their run
-// times are long alike. A stalled worker gets one trial task at a time, and is sound again
-// once one that started after the stall has ended. The rule is judged by the time from the
-// stall to its notice, and by the sound workers that are taken for stalled.
+// times are long alike. A stalled worker gets one trial task a second, and is sound again once
+// one of them has completed. The rule is judged by the time from the stall to its notice, and
+// by the sound workers that are taken for stalled.
 //
 // The package does no I/O and reads no clock. A Detector is not safe for concurrent use.
 package stall
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"github.com/poplarlever/poplarlever/internal/core/msg"
 )
 
 const (
@@ -44,111 +47,177 @@
 	trialDelay = time.Second
 )
 
-// Running is a task that runs at the worker.
-type Running struct {
-	// Owner and Job identify the job of the task.
-	Owner, Job uint64
-	JobType    string
-	Started    time.Time
-}
+// End says how an attempt has ended.
+type End uint8
+
+const (
+	// Completed means that the task has run to its end.
+	Completed End = iota + 1
+	// Failed means that the worker has reported a failure. It may have refused the task, so
+	// that neither its run time nor the end of a stall follows.
+	Failed
+	// Stopped means that the attempt was stopped or never ran, which is no progress.
+	Stopped
+)
 
 // Detector follows one worker. The zero value is ready for use.
 type Detector struct {
-	types map[string]*runTimes
-	// progressAt is when a task last ended.
+	types typeCache
+	// running lists the tasks that run, ordered by attempt, so that those of one job are
+	// together.
+	running []running
+	// progressAt is when a task last ended. It and the starts of tasks are given on a clock
+	// that stands still while ends go unnoticed: excused is by how much it is behind.
 	progressAt time.Time
+	excused    time.Duration
 	stalled    bool
-	// since is when the stall was noticed, trialAt when the next trial task may start.
-	since, trialAt time.Time
+	// trialAt is when the next trial task may start.
+	trialAt time.Time
 }
 
-// runTimes describes the logarithms of the run times of a job type, in seconds.
-type runTimes struct {
-	mean, square float64
-	ends         int
+// running is a task that runs at the worker.
+type running struct {
+	id    msg.AttemptID
+	times *runTimes
+	since time.Time
+	// trial is set if the task started during the stall, stopping once it is being stopped.
+	trial, stopping bool
+}
+
+func (d *Detector) clock(now time.Time) time.Time { return now.Add(-d.excused) }
+
+func (d *Detector) find(id msg.AttemptID) (int, bool) {
+	return slices.BinarySearchFunc(d.running, id, func(r running, id msg.AttemptID) int { return r.id.Compare(id) })
 }
 
 // Started records a task that starts now.
-func (d *Detector) Started(now time.Time) {
+func (d *Detector) Started(now time.Time, id msg.AttemptID, jobType string) {
+	i, known := d.find(id)
+	if known {
+		return
+	}
+	d.running = slices.Insert(d.running, i, running{id: id, times: d.types.get(jobType), since: d.clock(now), trial: d.stalled})
 	if d.stalled {
 		d.trialAt = now.Add(trialDelay)
 	}
 }
 
-// Ended records the end of a task that was not stopped, and reports whether the worker is
-// sound again.
-func (d *Detector) Ended(now time.Time, jobType string, started time.Time, ran time.Duration) (recovered bool) {
-	d.progressAt = now
-	if ran > 0 {
-		d.runTimes(jobType).add(math.Log(ran.Seconds()))
+// Stopping records that an attempt is being stopped: it says nothing more of the worker.
+func (d *Detector) Stopping(id msg.AttemptID) {
+	if i, known := d.find(id); known {
+		d.running[i].stopping = true
+	}
+}
+
+// Ended records the end of an attempt, and reports whether the worker is sound again.
+func (d *Detector) Ended(now time.Time, id msg.AttemptID, end End) (recovered bool) {
+	i, known := d.find(id)
+	if !known {
+		return false
 	}
-	if !d.stalled || started.Before(d.since) {
+	r := d.running[i]
+	d.running = slices.Delete(d.running, i, i+1)
+	if end == Stopped {
 		return false
 	}
-	d.stalled = false
-	return true
+	d.progressAt = d.clock(now)
+	if end != Completed {
+		return false
+	}
+	if d.stalled && !r.trial {
+		// Its run time is that of the stall.
+		return false
+	}
+	if ran := d.progressAt.Sub(r.since); ran > 0 {
+		r.times.add(math.Log(ran.Seconds()))
+	}
+	recovered, d.stalled = d.stalled, false
+	return recovered
 }
 
-// Excuse leaves out a time in which the caller itself could not have noticed an end.
-func (d *Detector) Excuse(t time.Duration) {
-	if !d.progressAt.IsZero() {
-		d.progressAt = d.progressAt.Add(t)
+// Excuse leaves out a time up to now in which the caller could not have noticed an end.
+func (d *Detector) Excuse(now time.Time, t time.Duration) {
+	d.excused += t
+	// What was noticed at the end of that time is not in the future.
+	at := d.clock(now)
+	d.progressAt = earlier(d.progressAt, at)
+	for i := range d.running {
+		d.running[i].since = earlier(d.running[i].since, at)
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Stalled reports whether the worker is stalled.
 func (d *Detector) Stalled() bool { return d.stalled }
 
 // TrialDue reports whether a trial task may start at a stalled worker.
 func (d *Detector) TrialDue(now time.Time) bool { return d.stalled && !now.Before(d.trialAt) }
 
-// Check reports whether the worker is found to be stalled now.
-func (d *Detector) Check(now time.Time, running []Running) bool {
-	if d.stalled || now.Sub(d.progressAt) < minGap || d.progressAt.IsZero() || d.expectedEnds(now, running) < -math.Log(improbable) {
+// Check reports whether the worker is found to be stalled now. It is called at every tick of
+// the agent, and does nothing more than compare times while tasks end.
+func (d *Detector) Check(now time.Time) bool {
+	at := d.clock(now)
+	if d.stalled || d.progressAt.IsZero() || at.Sub(d.progressAt) < minGap || d.expectedEnds(at) < -math.Log(improbable) {
 		return false
 	}
-	d.stalled, d.since, d.trialAt = true, now, now.Add(trialDelay)
+	d.stalled, d.trialAt = true, now.Add(trialDelay)
 	return true
 }
 
-// jobKey identifies the job of a task.
-type jobKey struct{ owner, job uint64 }
-
 // expectedEnds returns the number of ends that were to be expected since the latest one, over
 // the jobs with a task here.
-func (d *Detector) expectedEnds(now time.Time, running []Running) float64 {
-	most := make(map[jobKey]float64)
-	for _, r := range running {
-		t := d.types[r.JobType]
-		if t == nil || t.ends < minEnds {
-			continue
+func (d *Detector) expectedEnds(at time.Time) float64 {
+	expected, ofJob := 0.0, 0.0
+	for i, r := range d.running {
+		if i > 0 && (r.id.Entry != d.running[i-1].id.Entry || r.id.Job != d.running[i-1].id.Job) {
+			expected, ofJob = expected+ofJob, 0
 		}
-		from := time.Duration(0)
-		if d.progressAt.After(r.Started) {
-			from = d.progressAt.Sub(r.Started)
+		if r.stopping || r.times.ends < minEnds {
+			continue
 		}
-		key := jobKey{r.Owner, r.Job}
-		most[key] = max(most[key], t.hazard(now.Sub(r.Started))-t.hazard(from))
+		ofJob = max(ofJob, r.times.hazard(at.Sub(r.since))-r.times.hazard(d.progressAt.Sub(r.since)))
 	}
-	expected := 0.0
-	for _, h := range most {
-		expected += h
-	}
-	return expected
+	return expected + ofJob
 }
 
-func (d *Detector) runTimes(jobType string) *runTimes {
-	t := d.types[jobType]
+// Running returns the number of tasks that run.
+func (d *Detector) Running() int { return len(d.running) }
+
+// Types returns the number of job types remembered.
+func (d *Detector) Types() int { return len(d.types.recent) + len(d.types.older) }
+
+// typeCache keeps the run times of the job types used last: those of the latest maxTypes/2
+// types, and up to as many of the ones before.
+type typeCache struct{ recent, older map[string]*runTimes }
+
+func (c *typeCache) get(jobType string) *runTimes {
+	if t := c.recent[jobType]; t != nil {
+		return t
+	}
+	t := c.older[jobType]
 	if t == nil {
-		if d.types == nil || len(d.types) >= maxTypes {
-			d.types = make(map[string]*runTimes)
-		}
 		t = &runTimes{}
-		d.types[jobType] = t
 	}
+	delete(c.older, jobType)
+	if c.recent == nil || len(c.recent) >= maxTypes/2 {
+		c.recent, c.older = make(map[string]*runTimes), c.recent
+	}
+	c.recent[jobType] = t
 	return t
 }
 
+// runTimes describes the logarithms of the run times of a job type, in seconds.
+type runTimes struct {
+	mean, square float64
+	ends         int
+}
+
 func (t *runTimes) add(logarithm float64) {
 	t.ends++
 	weight := max(gain, 1/float64(t.ends))
@@ -166,6 +235,3 @@
 	spread := max(minSpread, math.Sqrt(max(0, t.square-t.mean*t.mean)))
 	return min(maxHazard, -math.Log(math.Erfc((math.Log(ran.Seconds())-t.mean)/(spread*math.Sqrt2))/2))
 }
-
-// Types returns the number of job types remembered.
-func (d *Detector) Types() int { return len(d.types) }
--- a/internal/core/stall/stall_test.go
+++ b/internal/core/stall/stall_test.go
@@ -1,13 +1,16 @@
 package stall_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/stall"
 )
 
@@ -17,11 +20,15 @@
 	rng      *rand.Rand
 	detector stall.Detector
 	now      time.Time
-	running  []stall.Running
-	ends     []time.Time
+	running  []task
 	lastJob  uint64
 }
 
+type task struct {
+	id   msg.AttemptID
+	ends time.Time
+}
+
 var meanRuns = map[string]time.Duration{"short": 60 * time.Millisecond, "middle": 200 * time.Millisecond, "long": 900 * time.Millisecond}
 
 func newWorker(seed uint64) *worker {
@@ -33,16 +40,16 @@
 func (w *worker) play(d time.Duration, tasks int, hangs bool) time.Duration {
 	for start := w.now; w.now.Sub(start) < d; w.now = w.now.Add(time.Millisecond) {
 		for i := 0; i < len(w.running) && !hangs; i++ {
-			if r := w.running[i]; !w.ends[i].After(w.now) {
-				w.detector.Ended(w.now, r.JobType, r.Started, w.now.Sub(r.Started))
-				w.running, w.ends = append(w.running[:i:i], w.running[i+1:]...), append(w.ends[:i:i], w.ends[i+1:]...)
+			if r := w.running[i]; !r.ends.After(w.now) {
+				w.detector.Ended(w.now, r.id, stall.Completed)
+				w.running = slices.Delete(w.running, i, i+1)
 				i--
 			}
 		}
 		for len(w.running) < tasks {
 			w.start()
 		}
-		if w.detector.Check(w.now, w.running) {
+		if w.detector.Check(w.now) {
 			return w.now.Sub(start)
 		}
 	}
@@ -57,9 +64,9 @@
 		ran *= 7
 	}
 	w.lastJob++
-	w.running = append(w.running, stall.Running{Owner: w.lastJob % 10, Job: w.lastJob / 2, JobType: jobType, Started: w.now})
-	w.ends = append(w.ends, w.now.Add(time.Duration(ran*float64(time.Second))))
-	w.detector.Started(w.now)
+	id := msg.AttemptID{Entry: msg.Incarnation(w.lastJob % 10), Job: w.lastJob / 2, Task: uint32(w.lastJob % 2)}
+	w.running = append(w.running, task{id, w.now.Add(time.Duration(ran * float64(time.Second)))})
+	w.detector.Started(w.now, id, jobType)
 }
 
 // Guards against a stalled worker that is noticed only after a multiple of its tasks' run
@@ -91,39 +98,89 @@
 	}
 }
 
-// Guards against a worker that stays out of use after its stall, and against trial tasks in
-// quick succession.
+var trial = msg.AttemptID{Entry: 99}
+
+// Guards against a worker that stays out of use after its stall or comes back without a
+// completed trial task, and against trial tasks in quick succession.
 func TestTrialTasks(t *testing.T) {
 	c := qt.New(t)
 	w := newWorker(1)
 	w.play(10*time.Second, 11, false)
 	c.Assert(w.play(3*time.Second, 11, true) > 0, qt.IsTrue)
-	before := w.now.Add(-time.Second)
-	c.Check(w.detector.TrialDue(w.now), qt.IsFalse)
-	c.Check(w.detector.Ended(w.now, "short", before, time.Second), qt.IsFalse)
-	now := w.now.Add(time.Second)
-	c.Check(w.detector.TrialDue(now), qt.IsTrue)
-	w.detector.Started(now)
-	c.Check(w.detector.TrialDue(now), qt.IsFalse)
-	c.Check(w.detector.Ended(now.Add(time.Second), "short", now, time.Second), qt.IsTrue)
-	c.Check(w.detector.Stalled(), qt.IsFalse)
+	d := &w.detector
+	c.Check(d.TrialDue(w.now), qt.IsFalse)
+	c.Check(d.Ended(w.now, w.running[0].id, stall.Completed), qt.IsFalse)
+	c.Check(d.Ended(w.now, msg.AttemptID{Entry: 98}, stall.Completed), qt.IsFalse)
+	for _, end := range []stall.End{stall.Failed, stall.Stopped, stall.Completed} {
+		w.now = w.now.Add(time.Second)
+		c.Check(d.TrialDue(w.now), qt.IsTrue)
+		d.Started(w.now, trial, "short")
+		c.Check(d.TrialDue(w.now), qt.IsFalse)
+		c.Check(d.Ended(w.now.Add(time.Millisecond), trial, end), qt.Equals, end == stall.Completed)
+	}
+	c.Check(d.Stalled(), qt.IsFalse)
+}
+
+// Guards against tasks that fail early and are taken for short ones: the others then look
+// overdue.
+func TestFailuresTeachNoRunTimes(t *testing.T) {
+	var d stall.Detector
+	now := time.Unix(1000, 0)
+	for range 20 {
+		d.Started(now, trial, "long")
+		now = now.Add(900 * time.Millisecond)
+		d.Ended(now, trial, stall.Completed)
+		for range 10 {
+			d.Started(now, trial, "long")
+			now = now.Add(time.Millisecond)
+			d.Ended(now, trial, stall.Failed)
+		}
+	}
+	for i := range uint64(8) {
+		d.Started(now, msg.AttemptID{Entry: 99, Job: i}, "long")
+	}
+	qt.Check(t, d.Check(now.Add(600*time.Millisecond)), qt.IsFalse)
+	qt.Check(t, d.Check(now.Add(3*time.Second)), qt.IsTrue)
 }
 
-// Guards against a pause of the agent that is taken for a stall of its worker, and against
-// records that grow with the number of job types.
-func TestPausesAndManyTypes(t *testing.T) {
+// Guards against a pause of the agent that is taken for a stall, or hides one after it.
+func TestPauses(t *testing.T) {
 	c := qt.New(t)
-	w := newWorker(2)
-	w.play(10*time.Second, 11, false)
-	w.now = w.now.Add(5 * time.Second)
-	w.detector.Excuse(5 * time.Second)
-	running := w.running
-	for i := range running {
-		running[i].Started = running[i].Started.Add(5 * time.Second)
+	for seed := range uint64(20) {
+		w := newWorker(seed)
+		w.play(10*time.Second, 11, false)
+		w.now = w.now.Add(5 * time.Second)
+		if seed%2 == 0 {
+			w.detector.Ended(w.now, w.running[0].id, stall.Completed)
+		}
+		w.detector.Excuse(w.now, 5*time.Second)
+		c.Check(w.detector.Check(w.now), qt.IsFalse)
+		took := w.play(3*time.Second, 11, true)
+		c.Check(took > 0 && took <= time.Second, qt.IsTrue, qt.Commentf("seed %d: %v", seed, took))
 	}
-	c.Check(w.detector.Check(w.now, running), qt.IsFalse)
-	for i := range 10000 {
-		w.detector.Ended(w.now, string(rune(i)), w.now, time.Second)
+}
+
+// Guards against records that grow with the number of job types, and against types in use
+// that are forgotten for those that come once.
+func TestManyTypes(t *testing.T) {
+	c := qt.New(t)
+	w := newWorker(2)
+	for i := range 20 {
+		w.play(time.Second, 11, false)
+		for j := range 500 {
+			w.detector.Started(w.now, trial, fmt.Sprint(i, "-", j))
+			w.detector.Ended(w.now, trial, stall.Stopped)
+		}
+		c.Assert(w.detector.Types() <= 1024, qt.IsTrue)
 	}
-	c.Check(w.detector.Types() <= 1024, qt.IsTrue)
+	took := w.play(3*time.Second, 11, true)
+	c.Check(took > 0 && took <= time.Second, qt.IsTrue, qt.Commentf("%v", took))
+}
+
+// Guards against a check that allocates: the agent makes it at each of 50 ticks a second.
+func TestCheckAllocatesNothing(t *testing.T) {
+	w := newWorker(1)
+	w.play(10*time.Second, 3, false)
+	w.now = w.now.Add(300 * time.Millisecond)
+	qt.Assert(t, testing.AllocsPerRun(100, func() { w.detector.Check(w.now) }), qt.Equals, 0.0)
 }
