Send one trial task to a stalled worker and stop it when it hangs

- The room that the agent reports for a trial task took as many tasks as fit, all but one of which it refuses.
- A trial task that hung was stopped by no rule of its own: the worker had to be judged slow first, which takes tasks of two jobs.
A task that may not start twice, or had failed before, was taken as a trial.
- When most workers stalled at once, all tasks were stopped at all of them.
More than a third (slowDivisor) are left to the other rules.
- A worker that was slow as well got no trial task for 3 s; a stalled one counted as a faster alternative; a stall told in Hello counted only from the next message on.

--- a/internal/core/entry/health.go
+++ b/internal/core/entry/health.go
@@ -24,18 +24,18 @@
 
 // mayTake reports whether a leased worker may get this attempt of a task. A task that
 // failed or was stopped at a worker starts elsewhere, and none but a first attempt is used
-// as a trial, since a further failure could be the job's last. Both hold only while another
-// worker can run the task.
+// as a trial, since a further failure could be the job's last; for a stalled worker see
+// unfitForTrial. All hold only while another worker can run the task.
 func (w *worker) mayTake(p *pass, j *job, task int, step Step) bool {
 	t := &j.tasks[task]
 	failedHere := t.lastFailedWorker == w.name
 	trialOfRetry := w.health.Quarantined() && t.failures > 0
-	if !failedHere && !trialOfRetry {
+	if !failedHere && !trialOfRetry && !w.unfitForTrial(p.now, j, t) {
 		return true
 	}
 	size := j.spec.Tasks[task].DeclaredSize
 	return !slices.ContainsFunc(p.workers, func(o *worker) bool {
-		return o != w && !o.health.Quarantined() && o.name != t.lastFailedWorker && size.FitsIn(o.hello.Size) && o.hasRequiredLabel(step)
+		return o != w && !o.health.Quarantined() && !o.stalled && o.name != t.lastFailedWorker && size.FitsIn(o.hello.Size) && o.hasRequiredLabel(step)
 	})
 }
 
--- a/internal/core/entry/learning.go
+++ b/internal/core/entry/learning.go
@@ -219,7 +219,7 @@
 	best, found := estimate.Alternative{Delay: stopDelay + 2*c.MessageDelay()}, false
 	for _, o := range c.workers.list {
 		if o == w || !o.usable() || !o.hello.Leased() || o.hello.Service != w.hello.Service || o.slowdown.slow() ||
-			o.health.Quarantined() || !a.size.FitsIn(o.hello.Size) || !o.hasRequiredLabel(step) {
+			o.stalled || o.health.Quarantined() || !a.size.FitsIn(o.hello.Size) || !o.hasRequiredLabel(step) {
 			continue
 		}
 		free := o.fits(a.size)
--- a/internal/core/entry/pass.go
+++ b/internal/core/entry/pass.go
@@ -15,6 +15,7 @@
 
 // pass holds what one pass over a service's queue knows of its leased workers.
 type pass struct {
+	now time.Time
 	// workers lists those that may get a task.
 	workers []*worker
 	// totalCores counts the cores of all usable workers of the service times their speeds,
@@ -32,9 +33,9 @@
 }
 
 // newPass gathers the leased workers of a service. A quarantined or slow worker is listed
-// when a trial task is due.
+// when a trial task is due, a stalled one always: its agent reports room when one is due.
 func (c *Core) newPass(now time.Time, service string) pass {
-	p := pass{}
+	p := pass{now: now}
 	usable, slow := 0, 0
 	for _, w := range c.workers.list {
 		if !w.usable() || w.hello.Service != service {
@@ -52,7 +53,7 @@
 	}
 	p.leaveOutSlow = slow <= max(1, usable/slowDivisor)
 	for _, w := range c.workers.list {
-		if !w.usable() || !w.hello.Leased() || w.hello.Service != service || !w.eligible(now) || p.leaveOutSlow && w.excludedAsSlow(now) {
+		if !w.usable() || !w.hello.Leased() || w.hello.Service != service || !w.eligible(now) || p.leaveOutSlow && !w.stalled && w.excludedAsSlow(now) {
 			continue
 		}
 		p.workers = append(p.workers, w)
@@ -66,7 +67,7 @@
 	p.freeCores -= cores * w.speed.Speed()
 	p.lateCores -= cores * w.speed.Speed()
 	p.placedCores += cores
-	if w.health.Quarantined() || w.slowdown.slow() {
+	if w.health.Quarantined() || w.slowdown.slow() || w.stalled {
 		p.workers = slices.DeleteFunc(p.workers, func(o *worker) bool { return o == w })
 	}
 }
--- a/internal/core/entry/placement.go
+++ b/internal/core/entry/placement.go
@@ -16,6 +16,10 @@
 // seen when it sent the report.
 func (w *worker) setRoom(r msg.Slots) {
 	w.room = r.Room
+	if w.trialUnderWay(r) {
+		w.room = msg.Size{}
+		return
+	}
 	for _, a := range w.outstanding {
 		if w.owns(a) && a.seq > max(w.baseSeq, r.Covers) {
 			w.room = w.room.Minus(a.size)
--- a/internal/core/entry/slowdown.go
+++ b/internal/core/entry/slowdown.go
@@ -156,6 +156,10 @@
 		if !w.hello.Leased() || !w.busy() || w.crashed {
 			continue
 		}
+		if w.stalled && c.othersTakeOver(w) {
+			c.stopStalled(now, w)
+			continue
+		}
 		if !w.slowdown.slow() && health.Silent(w.runningSinceLastEnd(now.Add(-c.answerAllowance()))) {
 			c.judgeSilent(now, w)
 		}
@@ -208,13 +212,13 @@
 }
 
 // fasterWorkerExists reports whether the worker is slow and another usable worker of the
-// service is not.
+// service is neither slow nor stalled.
 func (c *Core) fasterWorkerExists(w *worker, j *job) bool {
 	if !w.slowdown.slow() {
 		return false
 	}
 	for _, other := range c.workers.list {
-		if other != w && other.usable() && other.hello.Service == j.spec.Service && !other.slowdown.slow() {
+		if other != w && other.usable() && other.hello.Service == j.spec.Service && !other.slowdown.slow() && !other.stalled {
 			return true
 		}
 	}
--- a/internal/core/entry/workers.go
+++ b/internal/core/entry/workers.go
@@ -51,8 +51,10 @@
 	health   health.Worker
 	slowdown slowdown
 	// reportedStalled is set while the agent reports that the worker's tasks make no progress,
-	// stalled once the entry has acted on it.
+	// stalled once the entry has acted on it, at stalledAt after the dispatch stalledSeq.
 	reportedStalled, stalled bool
+	stalledAt                time.Time
+	stalledSeq               uint64
 	// speed is nil unless the core learns speeds.
 	speed *speed.Worker
 	// crashed is set from a crash of the worker until it takes tasks again.
@@ -179,6 +181,9 @@
 func (w *worker) reserve(size msg.Size) {
 	if w.hello.Leased() {
 		w.room = w.room.Minus(size)
+		if w.stalled {
+			w.room = msg.Size{}
+		}
 		return
 	}
 	w.reserveSlot()
@@ -303,6 +308,7 @@
 		w.state = workerUp
 	}
 	c.recordContact(now, w, in.Clock)
+	c.updateStalled(now, w)
 	c.sendTo(now, w, c.welcome())
 	c.sendEvacuationsTo(now, w)
 	if w.revision < c.policy.Revision {
@@ -413,7 +419,7 @@
 		}
 	}
 	c.updateHealth(now, w)
-	c.updateStalled(w)
+	c.updateStalled(now, w)
 	w.checkSlots()
 }
 
