Space out queries to a worker that resets connections

A query that failed was repeated at once, without end while the hold waited on an older connection: 10,000 within a millisecond of the test. It has a pace as holds have. A stop that had waited for its timeout was delayed by its pace on top, against the rule of the package; the spacing counts from its sending.

TestNothingOfAnInstanceIsKeptForTheNext sets the new fields.

--- a/internal/core/lease/execution.go
+++ b/internal/core/lease/execution.go
@@ -220,18 +220,19 @@
 
 // stopAnswered applies the answer to a stop. How the attempt ended is learnt from a
 // later hold.
-func (c *Core) stopAnswered(e *execution, n uint64, status Status) {
-	if c.byName[e.name] != e || e.stopCall != n {
+func (c *Core) stopAnswered(asked call, in Answer) {
+	e := asked.execution
+	if c.byName[e.name] != e || e.stopCall != in.Call {
 		return
 	}
 	e.stopCall = 0
-	if status == OK {
+	if in.Status == OK {
 		e.state = stopped
 		e.conclusiveAfter, e.missed = c.lastCall, 0
 		return
 	}
 	e.stopPace.Failed()
-	e.retryStopAt = e.stopPace.Next(c.now, callpace.Bounds{Min: 2 * stopRetryDelay, Max: c.cfg.ProbeInterval})
+	e.retryStopAt = e.stopPace.Next(asked.sentAt, callpace.Bounds{Min: 2 * stopRetryDelay, Max: c.cfg.ProbeInterval})
 	if earliest := c.now.Add(stopRetryDelay); e.retryStopAt.Before(earliest) {
 		e.retryStopAt = earliest
 	}
--- a/internal/core/lease/hold.go
+++ b/internal/core/lease/hold.go
@@ -55,7 +55,7 @@
 // queryUnresolved sends a second hold, which does not wait for an end, while an
 // attempt needs a hold and the pending one began too early to show it.
 func (c *Core) queryUnresolved() {
-	if c.phase != held || c.queryCall != 0 || c.holdCall == 0 || c.unanswered > 0 {
+	if c.phase != held || c.queryCall != 0 || c.holdCall == 0 || c.unanswered > 0 || c.now.Before(c.nextQueryAt) {
 		return
 	}
 	needed := slices.ContainsFunc(c.toStart, func(d delayedStart) bool { return c.holdCall <= d.after })
@@ -90,11 +90,7 @@
 	if in.Call == c.queryCall && in.Call != 0 {
 		c.queryCall = 0
 		c.updateClock(in)
-		if in.Status == OK {
-			c.answers.Alive()
-			c.confirm(in.Call, c.querySentAt)
-			c.applyLists(in)
-		}
+		c.queryAnswered(in)
 		return
 	}
 	waiting, ok := c.byCall[in.Call]
@@ -111,7 +107,7 @@
 		c.answers.Answered(c.now.Sub(waiting.sentAt))
 	}
 	if waiting.isStop {
-		c.stopAnswered(waiting.execution, in.Call, in.Status)
+		c.stopAnswered(waiting, in)
 		return
 	}
 	c.startAnswered(waiting.execution, in.Status)
@@ -120,6 +116,20 @@
 	}
 }
 
+// queryAnswered applies the answer to a query. Whether the worker is silent is left to holds.
+func (c *Core) queryAnswered(in Answer) {
+	if in.Status != OK {
+		c.queryPace.Failed()
+		c.nextQueryAt = c.queryPace.Next(c.querySentAt, holdSpacing)
+		return
+	}
+	c.queryPace.Answered()
+	c.nextQueryAt = time.Time{}
+	c.answers.Alive()
+	c.confirm(in.Call, c.querySentAt)
+	c.applyLists(in)
+}
+
 // updateClock keeps the newest reading of the worker's clock. Answers that arrive
 // out of order carry older ones.
 func (c *Core) updateClock(in Answer) {
--- a/internal/core/lease/instance_state_test.go
+++ b/internal/core/lease/instance_state_test.go
@@ -23,8 +23,8 @@
 		core.lastCall = 20
 		core.instanceState = instanceState{
 			phase: held, instance: Instance{ID: "i-1", StartedAtMs: 7}, fenceStep: 4, clock: time.Hour, clockAt: at, stoodStill: time.Second,
-			silent: true, unanswered: 3, unansweredSince: at, holdPace: failed, leaving: true, announcedLeaving: true, crashReported: true, seen: 5, acked: 4,
-			lastCallBefore: 2, holdCall: 18, queryCall: 19, holdSeen: 5, nextHoldAt: at, holdSentAt: at, querySentAt: at, confirmedAt: at,
+			silent: true, unanswered: 3, unansweredSince: at, holdPace: failed, queryPace: failed, leaving: true, announcedLeaving: true, crashReported: true, seen: 5, acked: 4,
+			lastCallBefore: 2, holdCall: 18, queryCall: 19, holdSeen: 5, nextHoldAt: at, nextQueryAt: at, holdSentAt: at, querySentAt: at, confirmedAt: at,
 			confirmedCall: 17, renewedAt: at, renewalCall: 18,
 			toStart: []delayedStart{{}}, unowned: map[unownedRun]unownedState{{task: "t"}: {}},
 		}
--- a/internal/core/lease/lease.go
+++ b/internal/core/lease/lease.go
@@ -100,7 +100,7 @@
 	ackTerm = 500 * time.Millisecond
 )
 
-// holdSpacing spaces out holds that fail at once. Its Max lets silentAfter pass with no more than
+// holdSpacing spaces out holds and queries that fail at once. Its Max lets silentAfter pass with no more than
 // eight connections and without delaying the moment at which the worker counts as silent by
 // more than that.
 var holdSpacing = callpace.Bounds{Min: 10 * time.Millisecond, Max: 50 * time.Millisecond}
@@ -172,7 +172,8 @@
 	// first of them had timed out.
 	unanswered      int
 	unansweredSince time.Time
-	holdPace        callpace.Pace
+	// holdPace and queryPace space out holds and queries that fail at once.
+	holdPace, queryPace callpace.Pace
 	// leaving is set when the worker has deregistered, announcedLeaving when it has
 	// announced that it is going to end.
 	leaving, announcedLeaving bool
@@ -187,7 +188,8 @@
 	// one, which does not wait for an end.
 	holdCall, queryCall uint64
 	holdSeen            uint64
-	nextHoldAt          time.Time
+	// nextHoldAt and nextQueryAt are when the next hold and query may be sent.
+	nextHoldAt, nextQueryAt time.Time
 	// holdSentAt and querySentAt are when holdCall and queryCall were sent. The instance has
 	// answered confirmedCall, a hold that was sent at confirmedAt, and none that is newer.
 	holdSentAt, querySentAt, confirmedAt time.Time
