Keep odd and past job types from deciding what is shed

- A type that came back after an hour counted as excess for minutes: the time without jobs was added to the averaging time without bound.
- One job with an absurd declared work (1e30 core-seconds; it is admitted and fits nowhere) made its type usual and protected for hours, or cost it its protected part for good.
- A priority that no type has any more kept the most urgent type from being one; the shortest wait of a type with one job long ago decided for all others.

Before: TestTypeThatComesBackIsUsual (421 of 500 usual jobs gave way), TestAbsurdWorkOfOneJob and TestTypesOfThePastDecideNothing failed.

--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -21,7 +21,6 @@
 package shedding
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -59,7 +58,11 @@
 	settle = time.Second
 	// maxTypes bounds the job types followed, keepIdle is how long one without jobs is kept.
 	maxTypes = 5000
-	keepIdle = time.Minute
+	// maxWork bounds the work of a job in core-seconds, maxWorkRatio bounds it by the mean of its
+	// type: a declaration may be far off, and would decide for minutes what is usual.
+	maxWork      = 1e5
+	maxWorkRatio = 16
+	keepIdle     = time.Minute
 )
 
 // Job describes a job that arrives.
@@ -75,12 +78,12 @@
 // Shedder follows the job types of one service. The zero value is ready for use.
 type Shedder struct {
 	types map[string]*jobType
-	// order lists the priorities that are in use, the most urgent first.
+	// order lists the priorities of the types in use, the most urgent first.
 	order []int
-	// shortest is the shortest mean time that the jobs of a type can wait, in seconds, as of
-	// shortestAt.
+	// shortest is the shortest mean time that the jobs of a type can wait, in seconds. It and
+	// order are as of surveyedAt.
 	shortest   float64
-	shortestAt time.Time
+	surveyedAt time.Time
 	// backlog is the mean backlog, in seconds, as of backlogAt.
 	backlog   float64
 	backlogAt time.Time
@@ -96,10 +99,10 @@
 	// work is the sum of work that counts towards the usual rate, over the observed seconds;
 	// both decay.
 	work, observed float64
-	// maxWait is the mean time that its jobs can wait, in seconds.
-	maxWait float64
-	at      time.Time
-	usual   bucket
+	// maxWait is the mean time that its jobs can wait, in seconds, meanWork their mean work.
+	maxWait, meanWork float64
+	at                time.Time
+	usual             bucket
 	// protected passes the part of the usual rate that does not give way.
 	protected bucket
 }
@@ -136,7 +139,10 @@
 	t := s.jobType(now, j)
 	usual, protected := t.arrived(now, j, now.Sub(s.waitedAt) < settle)
 	s.average(now, backlog)
-	if protected || usual && t.priority == s.order[0] || s.backlog < s.limit(t, usual)*s.shortestWait(now) {
+	if now.Sub(s.surveyedAt) >= surveyInterval || !slices.Contains(s.order, t.priority) {
+		s.survey(now)
+	}
+	if protected || usual && t.priority == s.order[0] || s.backlog < s.limit(t, usual)*s.shortest {
 		return true
 	}
 	s.shed++
@@ -161,19 +167,21 @@
 	return 1 - (1-least)*float64(rank)/float64(max(1, len(s.order)-1))
 }
 
-// shortestInterval is how long the shortest wait is kept before it is calculated anew: there
-// may be thousands of types.
-const shortestInterval = 100 * time.Millisecond
+// surveyInterval is how long what was gathered from all types is kept: there may be thousands.
+const surveyInterval = 100 * time.Millisecond
 
-// shortestWait returns the shortest mean time that the jobs of a type can wait, in seconds.
-func (s *Shedder) shortestWait(now time.Time) float64 {
-	if now.Sub(s.shortestAt) >= shortestInterval {
-		s.shortest, s.shortestAt = math.Inf(1), now
-		for _, t := range s.types {
-			s.shortest = min(s.shortest, t.maxWait)
+// survey gathers the priorities and the shortest wait of the types that are in use.
+func (s *Shedder) survey(now time.Time) {
+	s.shortest, s.surveyedAt, s.order = math.Inf(1), now, s.order[:0]
+	for _, t := range s.types {
+		if now.Sub(t.at) > keepIdle {
+			continue
 		}
+		s.shortest = min(s.shortest, t.maxWait)
+		s.order = append(s.order, t.priority)
 	}
-	return s.shortest
+	slices.Sort(s.order)
+	s.order = slices.Compact(s.order)
 }
 
 // jobType returns the record of the job's type, creating it if it is missing.
@@ -181,16 +189,13 @@
 	t := s.types[j.Type]
 	if t == nil {
 		s.makeRoom(now)
-		t = &jobType{maxWait: j.MaxWait.Seconds(), at: now}
+		t = &jobType{maxWait: j.MaxWait.Seconds(), meanWork: min(j.Work, maxWork), at: now}
 		if s.types == nil {
 			s.types = make(map[string]*jobType)
 		}
 		s.types[j.Type] = t
 	}
 	t.priority = j.Priority
-	if !slices.Contains(s.order, j.Priority) {
-		s.setOrder()
-	}
 	return t
 }
 
@@ -204,37 +209,28 @@
 	if len(s.types) >= maxTypes {
 		clear(s.types)
 	}
-	s.setOrder()
-}
-
-func (s *Shedder) setOrder() {
-	s.order = s.order[:0]
-	for _, t := range s.types {
-		if !slices.Contains(s.order, t.priority) {
-			s.order = append(s.order, t.priority)
-		}
-	}
-	slices.SortFunc(s.order, cmp.Compare[int])
 }
 
-// waitGain is the weight of a job in the mean time that the jobs of its type can wait.
-const waitGain = 1.0 / 16
+// jobGain is the weight of a job in the means of its type.
+const jobGain = 1.0 / 16
 
 // arrived records a job and reports whether it is within the usual rate of its type, and
 // within the protected part of it.
 func (t *jobType) arrived(now time.Time, j Job, waiting bool) (usual, protected bool) {
 	seconds := max(0, now.Sub(t.at).Seconds())
 	t.at = now
-	t.maxWait += waitGain * (j.MaxWait.Seconds() - t.maxWait)
+	t.maxWait += jobGain * (j.MaxWait.Seconds() - t.maxWait)
+	work := min(j.Work, maxWork, maxWorkRatio*t.meanWork)
+	t.meanWork += jobGain * (work - t.meanWork)
 	rate := t.rate()
-	t.observe(seconds, j.Work, waiting)
+	t.observe(seconds, work, waiting)
 	if t.observed < minUsual.Seconds() {
 		return true, true
 	}
 	t.usual.fill(allowance*rate, seconds)
 	t.protected.fill(protectedShare*rate, seconds)
-	usual = t.usual.take(j.Work)
-	return usual, usual && t.protected.take(j.Work)
+	usual = t.usual.take(work)
+	return usual, usual && t.protected.take(work)
 }
 
 // rate returns the usual rate of work in core-seconds per second.
@@ -253,7 +249,7 @@
 		horizon, weight = busyHorizon.Seconds(), usualHorizon.Seconds()/busyHorizon.Seconds()
 	}
 	keep := math.Exp(-seconds / horizon)
-	t.work, t.observed = keep*t.work+weight*work, keep*t.observed+weight*seconds
+	t.work, t.observed = keep*t.work+weight*work, keep*t.observed+weight*horizon*(1-keep)
 }
 
 // Types returns the number of job types followed.
--- a/internal/core/shedding/shedding_test.go
+++ b/internal/core/shedding/shedding_test.go
@@ -159,3 +159,84 @@
 	}
 	c.Check(s.Types() <= 5000, qt.IsTrue)
 }
+
+// stream offers jobs of a type at an even rate from a time on, and returns how many are shed.
+func stream(s *shedding.Shedder, from time.Time, d, every time.Duration, j shedding.Job, backlog time.Duration) int {
+	before := s.Shed()
+	for at := time.Duration(0); at < d; at += every {
+		if now := from.Add(at); backlog > 0 {
+			s.Waiting(now)
+			s.Admit(now, j, backlog)
+		} else {
+			s.Admit(now, j, 0)
+		}
+	}
+	return int(s.Shed() - before)
+}
+
+var (
+	urgentJob = shedding.Job{Type: "urgent", Priority: 0, Work: 1, MaxWait: 60 * time.Millisecond}
+	longJob   = shedding.Job{Type: "long", Priority: 2, Work: 4, MaxWait: 400 * time.Millisecond}
+)
+
+const every = 10 * time.Millisecond
+
+// Guards against a type that comes back after an hour without a job and counts as excess for
+// minutes: what it offers now is usual once it has been so for the averaging time.
+func TestTypeThatComesBackIsUsual(t *testing.T) {
+	var s shedding.Shedder
+	now := time.Unix(1000, 0)
+	stream(&s, now, 10*time.Second, every, longJob, 0)
+	now = now.Add(time.Hour)
+	stream(&s, now, 10*time.Second, every, urgentJob, 0)
+	stream(&s, now, 60*time.Second, every, longJob, 0)
+	now = now.Add(60 * time.Second)
+	stream(&s, now, time.Second, every, urgentJob, 0)
+	// At this backlog excess gives way, and what is usual does not.
+	qt.Check(t, stream(&s, now, 5*time.Second, every, longJob, 15*time.Millisecond), qt.Equals, 0)
+}
+
+// Guards against a type whose single job with an absurd declaration makes all that follow usual
+// for minutes, or costs the type its protected part.
+func TestAbsurdWorkOfOneJob(t *testing.T) {
+	for _, work := range []float64{1e6, 1e30, 1e300} {
+		for _, first := range []bool{true, false} {
+			c := qt.New(t)
+			var s shedding.Shedder
+			odd := longJob
+			odd.Work = work
+			now := time.Unix(1000, 0)
+			if first {
+				s.Admit(now, odd, 0)
+			}
+			stream(&s, now, 30*time.Second, every, longJob, 0)
+			now = now.Add(30 * time.Second)
+			if !first {
+				s.Admit(now, odd, 0)
+			}
+			stream(&s, now, 170*time.Second, every, longJob, 0)
+			stream(&s, now, 170*time.Second, every, urgentJob, 0)
+			now = now.Add(170 * time.Second)
+			shed := stream(&s, now, 2*time.Second, every/5, longJob, time.Second)
+			c.Check(shed > 800 && shed < 990, qt.IsTrue, qt.Commentf("work %g, first %v: %d of 1000 in a burst", work, first, shed))
+		}
+	}
+}
+
+// Guards against a priority that no job type has any more, or a type with the shortest
+// objective that has had one job long ago, and that go on to decide about all others.
+func TestTypesOfThePastDecideNothing(t *testing.T) {
+	var s shedding.Shedder
+	now := time.Unix(1000, 0)
+	s.Admit(now, shedding.Job{Type: "past", Priority: -1, Work: 1, MaxWait: time.Nanosecond}, 0)
+	changed := urgentJob
+	changed.Priority = -2
+	s.Admit(now, changed, 0)
+	now = now.Add(2 * time.Minute)
+	stream(&s, now, time.Minute, every, urgentJob, 0)
+	stream(&s, now, time.Minute, every, longJob, 0)
+	now = now.Add(time.Minute)
+	qt.Check(t, stream(&s, now, time.Second, every, urgentJob, time.Second), qt.Equals, 0, qt.Commentf("the most urgent type"))
+	now = now.Add(10 * time.Second)
+	qt.Check(t, stream(&s, now, time.Second, every, longJob, 5*time.Millisecond), qt.Equals, 0, qt.Commentf("a backlog that is short for the types in use"))
+}
