Let workers hang in the world of leased workers

TestHangingWorkersComeBackIntoUse: workers hang for 1 to 4 s, one or all at once, without and with the mixed faults. It fails if trial tasks follow each other without a pause.

--- a/internal/core/coretest/leased_test.go
+++ b/internal/core/coretest/leased_test.go
@@ -64,6 +64,8 @@
 	bounded *boundedLinks
 	// evacuations holds the evacuations of failure domains, or is nil without them.
 	evacuations *evacuations
+	// stalls holds the workers that hang, or is nil without them.
+	stalls *stalls
 	// learnSpeeds is set if the entries learn run times and speeds.
 	learnSpeeds bool
 	// lastCheck is the time of the last check by checkSingleRun.
@@ -198,7 +200,11 @@
 		Worker: a.name, Incarnation: w.incarnation(), Epoch: a.epoch, ReleaseAfter: lease.ReleaseAfter(lease.Config{}),
 		ResultKeep: time.Minute, HeartbeatInterval: 200 * time.Millisecond, EntrySilence: 1200 * time.Millisecond,
 		IdleHeartbeat: w.idleHeartbeat, FailureDomain: w.evacuations.domainOf(a), Evacuations: w.evacuations != nil,
+		DetectStalls: w.stalls != nil,
 	})
+	if w.stalls != nil {
+		w.stalls.agentStarted(a)
+	}
 	if w.evacuations != nil {
 		delete(w.evacuations.informedAt, a)
 	}
@@ -394,12 +400,17 @@
 				if w.evacuations != nil && a.core.Evacuated() {
 					w.c.Errorf("%s accepts %s in an evacuated domain", a.name, out.Name)
 				}
+				if w.stalls != nil {
+					w.stalls.started(a)
+				}
 				a.lease.Step(w.now, lease.RunTask{Attempt: out.Attempt, Task: out.Name, Run: out.Attempt.Attempt, Limit: out.RunLimit, OwnerSeen: out.EntrySeen})
 			case agent.EntrySeen:
 				w.tracef("%s: entry %d seen at %s", a.name, out.Entry, out.At.Sub(time.Unix(1000, 0)))
 				a.lease.Step(w.now, lease.OwnerSeen{Owner: out.Entry, At: out.At})
 			case agent.StopTask:
 				a.lease.Step(w.now, lease.StopTask{Attempt: out.Attempt})
+			case agent.WorkerStalled:
+				w.stalls.judged(a, out.Stalled)
 			case agent.EvacuationChanged:
 				w.evacuations.agentInformed(a, out)
 				a.lease.Step(w.now, lease.SetEvacuated{Evacuated: out.Evacuated})
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -33,14 +33,19 @@
 	blockedRuns  map[string]uint32
 	finished     []lease.Finished
 	endCount     uint64
+	// hangs is set while runs make no progress, since hungSince on the worker's clock.
+	hangs     bool
+	hungSince time.Duration
 	// OnEnd, unless nil, is called with each run that ends.
 	OnEnd func(RunEnd)
 }
 
 type run struct {
 	number uint32
-	endsAt time.Duration
-	kind   lease.EndKind
+	// started and endsAt are readings of the worker's clock.
+	started, endsAt time.Duration
+	kind            lease.EndKind
+	stopping        bool
 }
 
 // RunEnd is the end of a run. All times are readings of the worker's clock.
@@ -68,6 +73,21 @@
 	return time.Duration(float64(now.Sub(w.startTime)) * w.clockRate)
 }
 
+// SetHanging lets the worker's runs stand still from now on, or go on. It answers every call
+// meanwhile, starts tasks and stops them.
+func (w *Worker) SetHanging(now time.Time, hangs bool) {
+	w.advance(now)
+	clock := w.Clock(now)
+	for _, r := range w.runs {
+		if w.hangs && !hangs && !r.stopping {
+			r.endsAt += clock - max(w.hungSince, r.started)
+		}
+	}
+	if w.hangs != hangs {
+		w.hangs, w.hungSince = hangs, clock
+	}
+}
+
 // LeaseEnd returns the end of the lease on the worker's clock.
 func (w *Worker) LeaseEnd() time.Duration { return w.leaseEnd }
 
@@ -102,7 +122,7 @@
 	r := w.runs[task]
 	end = RunEnd{Task: task, Run: r.number, SeenAt: clock, LeaseEnd: w.leaseEnd}
 	switch {
-	case r.endsAt <= min(clock, w.leaseEnd):
+	case r.endsAt <= min(clock, w.leaseEnd) && (!w.hangs || r.stopping):
 		end.Kind, end.At = r.kind, r.endsAt
 	case w.leaseEnd < clock:
 		end.Kind, end.At, end.Lapsed = lease.Aborted, w.leaseEnd, true
@@ -186,7 +206,7 @@
 	default:
 		w.renewLease(now, s.Until)
 		takes, kind := w.taskOutcome(s.Task)
-		w.runs[s.Task] = &run{number: s.Run, endsAt: w.Clock(now) + takes, kind: kind}
+		w.runs[s.Task] = &run{number: s.Run, started: w.Clock(now), endsAt: w.Clock(now) + takes, kind: kind}
 	}
 	return a
 }
@@ -199,7 +219,7 @@
 		return a
 	}
 	if r := w.runs[s.Task]; r != nil && r.number <= s.Run {
-		r.endsAt, r.kind = min(r.endsAt, w.Clock(now)+stopTime), lease.Aborted
+		r.endsAt, r.kind, r.stopping = min(max(r.endsAt, w.Clock(now)), w.Clock(now)+stopTime), lease.Aborted, true
 	}
 	w.blockRuns(s.Task, s.Run)
 	return a
