--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -72,7 +72,7 @@
 			return optionalAddresses(&s.Entries)()
 		}, ""},
 		{"links", "Number of entries that this agent links to.", &s.Links, intBetween(&s.Links, 1, 64), ""},
-		{"detect_stalls", "true notices that the tasks of a leased worker make no progress, from all tasks there, and lets entries start them elsewhere.", &s.DetectStalls, func() error { return nil }, ""},
+		{"detect_stalls", "true notices that the tasks of a leased worker make no progress, from all tasks there, and lets entries start them elsewhere. Set it once all entries run a version that knows it: an earlier one ends the link when it reads `worker_stalled`.", &s.DetectStalls, func() error { return nil }, ""},
 		insecureNetwork(&s.InsecureNetwork, "TLS"),
 		stopLimit(&s.StopLimit), readyDelay(&s.ReadyDelay), evacuations(&s.Evacuations),
 		{"store.address", "Address of the platform's store, where the agent finds entries; empty means none.", &s.Store.Address, optionalAddress(&s.Store.Address), ""},
