Let jobs without declared work give way like others of their type

A job that declares no run time, or a size whose sum is infinite, was never shed, whatever the backlog.

--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -69,7 +69,8 @@
 type Job struct {
 	Type     string
 	Priority int
-	// Work is the job's declared work in core-seconds.
+	// Work is the job's declared work in core-seconds. Zero means that it is unknown: it is then
+	// taken as the mean of its type.
 	Work float64
 	// MaxWait is how long it can wait and be answered in time.
 	MaxWait time.Duration
@@ -133,7 +134,10 @@
 // Admit records a job that arrives and reports whether it is admitted. backlog is the time
 // until the jobs that wait have found room.
 func (s *Shedder) Admit(now time.Time, j Job, backlog time.Duration) bool {
-	if !(j.Work > 0) || math.IsInf(j.Work, 1) || j.MaxWait <= 0 {
+	if j.Work == 0 && s.types[j.Type] != nil {
+		j.Work = s.types[j.Type].meanWork
+	}
+	if !(j.Work > 0) || j.MaxWait <= 0 {
 		return true
 	}
 	t := s.jobType(now, j)
--- a/internal/core/shedding/shedding_test.go
+++ b/internal/core/shedding/shedding_test.go
@@ -240,3 +240,18 @@
 	now = now.Add(10 * time.Second)
 	qt.Check(t, stream(&s, now, time.Second, every, longJob, 5*time.Millisecond), qt.Equals, 0, qt.Commentf("a backlog that is short for the types in use"))
 }
+
+// Guards against jobs that never give way because they declare no run time, or an infinite
+// size.
+func TestUndeclaredWorkGivesWay(t *testing.T) {
+	for _, work := range []float64{0, math.Inf(1)} {
+		var s shedding.Shedder
+		now := time.Unix(1000, 0)
+		stream(&s, now, 30*time.Second, every, urgentJob, 0)
+		stream(&s, now, 30*time.Second, every, longJob, 0)
+		odd := longJob
+		odd.Work = work
+		shed := stream(&s, now.Add(30*time.Second), 2*time.Second, every/5, odd, time.Second)
+		qt.Check(t, shed > 500, qt.IsTrue, qt.Commentf("work %g: %d of 1000", work, shed))
+	}
+}
