--- a/internal/core/agent/attempts.go
+++ b/internal/core/agent/attempts.go
@@ -33,9 +33,8 @@
 	expires time.Time
 	result  msg.Result
 	size    msg.Size
-	// taskName and jobType are those of a task at a leased worker, which started at startedAt.
+	// taskName and jobType are those of a task at a leased worker.
 	taskName, jobType string
-	startedAt         time.Time
 	// beside is set while what runs beside the attempt is followed.
 	beside *colocation.Mark
 	// stopping is set once a StopTask was emitted for the running attempt.
@@ -121,11 +120,11 @@
 	if e.running++; e.running == 1 {
 		e.busySince = now
 	}
-	a := &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size, taskName: d.TaskName, jobType: d.JobType, startedAt: now}
+	a := &attempt{state: stateRunning, startBy: d.StartBy, size: d.Size, taskName: d.TaskName, jobType: d.JobType}
 	c.attempts[d.Attempt] = a
 	c.followStart(now, a)
 	c.running++
-	c.stall.detector.Started(now)
+	c.recordStart(now, d.Attempt, d.JobType)
 	c.used = c.used.Plus(d.Size)
 	c.checkUsage(d.Size)
 	name := msg.EndpointTaskName(c.cfg.Incarnation, d.Attempt)
@@ -268,7 +267,7 @@
 	}
 	// Waiting attempts take the room before it is reported.
 	c.startWaiting(now)
-	c.recordProgress(now, a)
+	c.recordProgress(now, a.result)
 	c.recordOutcome(now, a.result)
 	owner := c.entries.link(in.Attempt.Entry)
 	c.grantFreedSlots(now, owner)
--- a/internal/core/entry/pass.go
+++ b/internal/core/entry/pass.go
@@ -34,7 +34,7 @@
 }
 
 // newPass gathers the leased workers of a service. A quarantined or slow worker is listed
-// when a trial task is due.
+// when a trial task is due, a stalled one always: its agent reports room when one is due.
 func (c *Core) newPass(now time.Time, service string) pass {
 	p := pass{now: now}
 	usable, slow := 0, 0
@@ -80,7 +80,7 @@
 		return verdict.NoRoom
 	case !w.eligible(now):
 		return verdict.WorkerOnTrial
-	case w.hello.Leased() && leaveOutSlow && w.excludedAsSlow(now):
+	case w.hello.Leased() && leaveOutSlow && !w.stalled && w.excludedAsSlow(now):
 		return verdict.WorkerSlow
 	}
 	return 0
@@ -91,7 +91,7 @@
 	p.freeCores -= cores * w.speed.Speed()
 	p.lateCores -= cores * w.speed.Speed()
 	p.placedCores += cores
-	if w.health.Quarantined() || w.slowdown.slow() {
+	if w.health.Quarantined() || w.slowdown.slow() || w.stalled {
 		p.workers = slices.DeleteFunc(p.workers, func(o *worker) bool { return o == w })
 	}
 }
