Spread the workers of confined job types over racks

The rank of a worker was the FNV-1a hash of its name, which sorts names that differ only in their last digits next to each other. With 60 workers in 6 racks and 3 failure domains, the third that confined job types may use was two whole racks, in one or two domains.

Rank by xxhash, as internal/core/subset does.

TestConfinedWorkersAreSpread failed before: 10 workers each of two racks, none of the others.

--- a/internal/core/entry/crashes.go
+++ b/internal/core/entry/crashes.go
@@ -2,10 +2,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/poplarlever/poplarlever/internal/core/crashlog"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
@@ -117,11 +118,8 @@
 }
 
 // cellRank orders workers evenly over racks and failure domains, which their names follow.
-func cellRank(w *worker) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(w.name))
-	return h.Sum64()
-}
+// FNV does not: it sorts names that differ only in their last digits next to each other.
+func cellRank(w *worker) uint64 { return xxhash.Sum64String(w.name) }
 
 // crashRulesAllow reports whether a leased worker may get the task after earlier crashes. A
 // suspect runs where no other one does. Tasks of a confined job type run in the cell, unless
--- a/internal/core/entry/crashes_test.go
+++ b/internal/core/entry/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -194,6 +195,36 @@
 	f.c.Assert(len(f.dispatched()) > 3, qt.IsTrue)
 }
 
+// Guards against a confined job type whose workers are whole racks of a few failure domains,
+// because the order of the workers follows the last digits of their names.
+func TestConfinedWorkersAreSpread(t *testing.T) {
+	for naming, name := range map[string]func(rack, i int) string{
+		"domain, rack and number": func(rack, i int) string { return fmt.Sprintf("zone-%c-rack-%d-vm-%02d", 'a'+rack/2, rack, i%10) },
+		"one number":              func(_, i int) string { return fmt.Sprint("worker-", i) },
+	} {
+		f := leasedFixture(t)
+		var workers []*leasedWorker
+		racks := make(map[entry.LinkID]int)
+		for i := range 60 {
+			rack := i / 10
+			w := f.linkLeased(name(rack, i), 32)
+			workers, racks[w.link] = append(workers, w), rack
+		}
+		f.confine(workers)
+		f.out = nil
+		f.submitNamed("p", "patient", 8, 60)
+		cell := f.dispatched()
+		f.c.Assert(cell, qt.HasLen, 20)
+		inRack, inDomain := make([]int, 6), make([]int, 3)
+		for link := range cell {
+			inRack[racks[link]]++
+			inDomain[racks[link]/2]++
+		}
+		f.c.Check(slices.Min(inRack) >= 1 && slices.Max(inRack) <= 7, qt.IsTrue, qt.Commentf("%s: %v in each rack", naming, inRack))
+		f.c.Check(slices.Min(inDomain) >= 3, qt.IsTrue, qt.Commentf("%s: %v in each failure domain", naming, inDomain))
+	}
+}
+
 // Guards against a job type with deadly tasks that spreads to all workers whenever those that
 // it may use have crashed, restarted and not yet announced themselves.
 func TestConfinedJobsWaitForRestartedWorkers(t *testing.T) {
