Move the bins of run times to where the runs are

The histogram of a job type covers ratios from 1/20 to 50. Where declared run times are off by more, all runs were counted in an outer bin, and each run in progress appeared to be longer than all others of its kind, which is evidence against its worker.

Begin anew around the present ratio when the median is in an outer bin, and count the runs of the last bin as exceeding any ratio beyond it.

--- a/internal/core/runtimes/runtimes.go
+++ b/internal/core/runtimes/runtimes.go
@@ -23,7 +23,8 @@
 
 const (
 	// bins is the number of bins of a histogram, binWidth the width of one on the scale of
-	// natural logarithms, and lowest the lower end of the first: ratios from 1/20 to 50.
+	// natural logarithms, and lowest the lower end of the first: ratios from 1/20 to 50, times
+	// the origin of the distribution. The outer bins also hold what is beyond them.
 	bins     = 56
 	binWidth = 0.125
 	lowest   = -3.0
@@ -42,6 +43,8 @@
 	negligible = 1e-4
 	// MaxTypes is the largest number of job types with a distribution.
 	MaxTypes = 5000
+	// maxOrigin bounds the logarithm of an origin, so that no ratio overflows.
+	maxOrigin = 40
 	// MaxRunTime is the longest valid run time.
 	MaxRunTime = 24 * time.Hour
 )
@@ -54,6 +57,8 @@
 type Distribution struct {
 	counts [bins]float32
 	total  float64
+	// origin is the logarithm of the ratio in the middle of the prior.
+	origin float64
 	// low, median, high and spread are calculated anew every so many observations.
 	low, median, high, spread float64
 	stale, observed           int
@@ -88,7 +93,7 @@
 	if math.IsNaN(logRatio) || !(weight > 0) || weight > 1 {
 		return
 	}
-	bin := int(min(max(0, (logRatio-lowest)/binWidth), bins-1))
+	bin := int(min(max(0, (logRatio-d.origin-lowest)/binWidth), bins-1))
 	d.counts[bin] += float32(weight)
 	d.total += weight
 	if d.total > 2*window {
@@ -101,9 +106,21 @@
 	d.observed++
 	if d.stale++; d.stale >= refreshEvery || d.observed <= refreshEvery {
 		d.refresh()
+		d.moveOrigin(logRatio)
 	}
 }
 
+// moveOrigin begins anew around a ratio if most runs are beyond the bins: their ratios would
+// be taken for those of the outer bin, and ordinary runs for overruns.
+func (d *Distribution) moveOrigin(logRatio float64) {
+	if at := (math.Log(d.median) - d.origin - lowest) / binWidth; at >= 1 && at <= bins-1 {
+		return
+	}
+	*d = prior
+	d.origin = min(max(logRatio, -maxOrigin), maxOrigin)
+	d.refresh()
+}
+
 // refresh calculates the kept quantiles.
 func (d *Distribution) refresh() {
 	d.stale = 0
@@ -119,11 +136,11 @@
 	for i, count := range d.counts {
 		n := float64(count)
 		if n > 0 && left <= n {
-			return lowest + binWidth*(float64(i)+left/n)
+			return d.origin + lowest + binWidth*(float64(i)+left/n)
 		}
 		left -= n
 	}
-	return lowest + binWidth*bins
+	return d.origin + lowest + binWidth*bins
 }
 
 // Quantile returns the ratio that the given part of the runs does not exceed.
@@ -153,17 +170,20 @@
 	return max(0, sum/above-elapsed)
 }
 
-// above returns the weight of the runs that exceed a ratio, and the sum of their ratios.
+// above returns the weight of the runs that exceed a ratio, and the sum of their ratios. How
+// far the runs of the last bin are beyond it is not known: all of them may exceed the ratio.
 func (d *Distribution) above(ratio float64) (weight, sum float64) {
-	at := (math.Log(max(ratio, 1e-9)) - lowest) / binWidth
-	for i := max(0, int(min(at, bins))); i < bins; i++ {
-		n, from := float64(d.counts[i]), float64(i)
+	at := (math.Log(max(ratio, 1e-9)) - d.origin - lowest) / binWidth
+	for i := max(0, int(min(at, bins-1))); i < bins; i++ {
+		n, from, to := float64(d.counts[i]), float64(i), float64(i)+1
 		if at > from {
-			n *= from + 1 - at
 			from = at
+			if i < bins-1 {
+				n *= to - at
+			}
 		}
 		weight += n
-		sum += n * math.Exp(lowest+binWidth*(from+float64(i)+1)/2)
+		sum += n * math.Exp(d.origin+lowest+binWidth*(from+max(from, to))/2)
 	}
 	return weight, sum
 }
--- a/internal/core/runtimes/runtimes_test.go
+++ b/internal/core/runtimes/runtimes_test.go
@@ -95,3 +95,19 @@
 		c.Check(math.IsNaN(x) || math.IsInf(x, 0), qt.IsFalse)
 	}
 }
+
+// Guards against job types whose declared run times are off by more than the bins cover: each
+// run would count as longer than all others of its kind.
+func TestRatiosBeyondTheBins(t *testing.T) {
+	for _, ratio := range []float64{1e-7, 1e-3, 60, 100, 1e4, 1e9} {
+		c, rng := qt.New(t), rand.New(rand.NewPCG(1, 7))
+		d := NewTable().Of("s", "t")
+		for range 300 {
+			d.Observe(math.Log(ratio)+0.4*rng.NormFloat64(), 1)
+		}
+		off := math.Abs(math.Log(d.Median() / ratio))
+		c.Check(off < 0.2, qt.IsTrue, qt.Commentf("ratio %v: median %v", ratio, d.Median()))
+		c.Check(d.Survival(1.2*ratio) > 0.2, qt.IsTrue, qt.Commentf("ratio %v: %v", ratio, d.Survival(1.2*ratio)))
+		c.Check(d.Remaining(ratio) > 0 && d.Remaining(ratio) < ratio, qt.IsTrue, qt.Commentf("ratio %v: %v", ratio, d.Remaining(ratio)))
+	}
+}
