Judge workers by runs that teach no speeds as well

Runs of jobs of one task, of several steps or with an affinity are not compared with others. Only their overdue runs counted, always against the worker: healthy workers were judged degraded one after the other, and where all jobs have steps or an affinity none ever recovered, since nothing but a comparison showed it. A run time of them was not learned either, so that types with too short declared times were overdue all the time.

Learn the ratios of such runs and apply each one alone: an ordinary one is evidence against a change and shows that a worker has recovered, a long one counts half. One run of a job counts. They still teach no speed, also when a worker has been degraded for long.

TestJobsThatTeachNoSpeeds failed before.

--- a/internal/core/entry/learning.go
+++ b/internal/core/entry/learning.go
@@ -83,11 +83,15 @@
 	a.checkAt = now.Add(a.job.estimate.FirstCheck(declared, a.worker.speed))
 }
 
+// learnsAlone reports whether the run time of a task depends on more than its worker, so that
+// it is not compared with those of the job's other tasks.
+func (j *job) learnsAlone(task int) bool { return len(j.spec.Steps) > 1 || j.step(task).Affinity != "" }
+
 // learnRun records the run of an ended task. The tasks of a job are compared once all have
 // ended.
 func (c *Core) learnRun(now time.Time, a *attempt, w *worker, took time.Duration) {
 	j := a.job
-	if !w.hello.Leased() || len(j.spec.Steps) > 1 || j.step(a.task).Affinity != "" {
+	if !w.hello.Leased() {
 		return
 	}
 	if !runtimes.Valid(took) {
@@ -98,6 +102,10 @@
 	if w.slowdown.slow() {
 		w.slowdown.at = now
 	}
+	if j.learnsAlone(a.task) {
+		c.applySpeedChanges(now, j.estimate.EndedAlone(now, w.speed, a.sentAt, took, j.spec.Tasks[a.task].DeclaredRunTime, a.overdue))
+		return
+	}
 	j.estimate.Ended(w.speed, a.sentAt, took, j.spec.Tasks[a.task].DeclaredRunTime, a.overdue)
 	if j.estimate.Runs() == len(j.tasks) {
 		c.applySpeedChanges(now, j.estimate.Finish(now))
@@ -144,7 +152,7 @@
 	o := estimate.Overrun{
 		Worker: w.speed, Declared: a.job.spec.Tasks[a.task].DeclaredRunTime,
 		Elapsed: now.Sub(a.sentAt) - c.answerAllowance(), Started: a.sentAt,
-		Counted: a.overdue, Stops: a.job.tasks[a.task].stops,
+		Counted: a.overdue, Alone: a.job.learnsAlone(a.task), Stops: a.job.tasks[a.task].stops,
 	}
 	for i := range a.job.tasks {
 		other := a.job.tasks[i].attempt
--- a/internal/core/entry/learning_test.go
+++ b/internal/core/entry/learning_test.go
@@ -416,3 +416,63 @@
 		qt.New(t).Check(2*late[true] < late[false], qt.IsTrue, qt.Commentf("%v", late))
 	}
 }
+
+// submitShaped submits a job of some steps, one after the other, whose declared run times are
+// too short by a factor and of which 3 in 100 run for 7 times as long.
+func (f *learningFleet) submitShaped(steps, tasks int, affinity string, factor float64) {
+	f.jobs++
+	j := entry.Job{ID: f.jobs, Service: "s", JobType: "patient", Account: "a", Deadline: f.now.Add(20 * time.Second)}
+	work := 100 * float64(time.Millisecond) * math.Exp(0.4*f.rng.NormFloat64())
+	if f.rng.Float64() < 0.03 {
+		work *= 7
+	}
+	for s := range steps {
+		j.Steps = append(j.Steps, entry.Step{Affinity: affinity})
+		if s > 0 {
+			j.Steps[s].After = []int{s - 1}
+		}
+		for range tasks {
+			own := time.Duration(work * math.Exp(0.15*f.rng.NormFloat64()))
+			j.Tasks = append(j.Tasks, entry.Task{
+				Step: s, DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: time.Duration(100 * float64(time.Millisecond) / factor), Payload: []byte(own.String()),
+			})
+		}
+	}
+	f.step(entry.Submit{Job: j})
+	f.collect()
+}
+
+// Guards against healthy workers that are judged degraded one after the other, and a degraded
+// one that is not noticed or never used again, because all jobs are of a kind that teaches no
+// speeds: long runs counted against a worker and ordinary ones not for it. At most one healthy
+// worker in 20 s is judged, as in the tests of package speed.
+func TestJobsThatTeachNoSpeeds(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		steps, tasks int
+		affinity     string
+	}{{"one task", 1, 1, ""}, {"two steps", 2, 2, ""}, {"affinity", 1, 2, "near"}} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newLearningFleet(t, 12, true)
+			load := func(d time.Duration) {
+				for until := f.now.Add(d); f.now.Before(until); f.play(20 * time.Millisecond) {
+					f.submitShaped(test.steps, test.tasks, test.affinity, 1)
+				}
+			}
+			load(20 * time.Second)
+			f.c.Check(f.judged[verdict.Slow] <= 1, qt.IsTrue, qt.Commentf("%v", f.judged))
+			load(10 * time.Second)
+			clear(f.judged)
+			bad := f.links[1]
+			f.slowness[bad] *= 7.5
+			load(6 * time.Second)
+			f.c.Check(f.judged[verdict.Slow] >= 1, qt.IsTrue, qt.Commentf("%v", f.judged))
+			f.slowness[bad] /= 7.5
+			// A trial task is long by chance now and then, and there is one every 6 s.
+			load(30 * time.Second)
+			clear(f.started)
+			load(5 * time.Second)
+			f.c.Check(f.started[bad] > 10, qt.IsTrue, qt.Commentf("%d tasks after the worker is healthy again", f.started[bad]))
+		})
+	}
+}
--- a/internal/core/estimate/estimate.go
+++ b/internal/core/estimate/estimate.go
@@ -160,6 +160,40 @@
 	maxNoticeFactor = 4
 )
 
+// prior returns the distribution of the logarithms of the ratios of the job's type.
+func (j *Job) prior() speed.Prior {
+	return speed.Prior{Mean: math.Log(j.dist.Median()), Deviation: j.dist.Spread()}
+}
+
+// blameLog is the logarithm of the run time against the expected one from which a run counts
+// against its worker, as in the test for a slower one.
+const blameLog = 0.47
+
+// EndedAlone learns from a run that has ended and whose time depends on more than its worker,
+// and returns what has changed. The run time has to be valid.
+func (j *Job) EndedAlone(now time.Time, w *speed.Worker, started time.Time, took, declared time.Duration, counted bool) []speed.Change {
+	if !j.known() || declared <= 0 {
+		return nil
+	}
+	prior := j.prior()
+	// Of a job that is long as a whole, one run counts.
+	run := newRun(w, started, took, declared, counted || j.blamed != nil)
+	if run.LogRatio-w.LogSlowness()-prior.Mean > blameLog {
+		j.blamed = w
+	}
+	if !w.Degraded() {
+		j.dist.Observe(run.LogRatio-w.LogSlowness(), 1/float64(j.tasks))
+	}
+	return j.speed.Alone(now, run, prior)
+}
+
+func newRun(w *speed.Worker, started time.Time, took, declared time.Duration, counted bool) speed.Run {
+	return speed.Run{
+		Worker: w, Started: started, LogRatio: math.Log(float64(took) / float64(declared)), Counted: counted,
+		Doubt: math.Log(float64(took) / float64(max(took-noticeDelay, took/maxNoticeFactor))),
+	}
+}
+
 // Ended records a run of the job that has ended. The run time has to be valid.
 func (j *Job) Ended(w *speed.Worker, started time.Time, took, declared time.Duration, counted bool) {
 	if !j.known() || declared <= 0 {
@@ -168,10 +202,9 @@
 	if j.runs == nil {
 		j.runs = make([]speed.Run, 0, j.tasks)
 	}
-	x := math.Log(float64(took) / float64(declared))
-	doubt := math.Log(float64(took) / float64(max(took-noticeDelay, took/maxNoticeFactor)))
-	j.runs = append(j.runs, speed.Run{Worker: w, Started: started, LogRatio: x, Doubt: doubt, Counted: counted})
-	j.sum += x - w.LogSlowness()
+	run := newRun(w, started, took, declared, counted)
+	j.runs = append(j.runs, run)
+	j.sum += run.LogRatio - w.LogSlowness()
 }
 
 // Runs returns the number of runs that have ended.
@@ -183,7 +216,7 @@
 	if !j.known() || len(j.runs) == 0 {
 		return nil
 	}
-	prior := speed.Prior{Mean: math.Log(j.dist.Median()), Deviation: j.dist.Spread()}
+	prior := j.prior()
 	for _, r := range j.runs {
 		if !r.Worker.Degraded() {
 			j.dist.Observe(r.LogRatio-r.Worker.LogSlowness(), 1/float64(len(j.runs)))
--- a/internal/core/estimate/overrun.go
+++ b/internal/core/estimate/overrun.go
@@ -59,6 +59,8 @@
 	Counted bool
 	// OthersLong is set if another task of the job is long as well; see AlsoLong.
 	OthersLong bool
+	// Alone is set if the run's time depends on more than its worker; see Job.EndedAlone.
+	Alone bool
 	// Stops is the number of earlier runs of the task that were stopped.
 	Stops int
 }
@@ -195,5 +197,5 @@
 		return nil
 	}
 	j.blamed = o.Worker
-	return j.speed.Overdue(now, o.Worker, share, j.Ratio(o))
+	return j.speed.Overdue(now, o.Worker, share, j.Ratio(o), !o.Alone && j.tasks > 1)
 }
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -99,13 +99,14 @@
 	// faster.
 	slower, faster float64
 	// degraded is set from degradedAt on while the worker is slower than its own speed;
-	// confirmed counts the jobs since then that showed so, and excess is the mean of the
-	// logarithms of their run times against those expected.
-	degraded   bool
-	degradedAt time.Time
-	confirmed  int
-	excess     float64
-	learned    bool
+	// confirmed counts the jobs since then that showed so. excess is the mean of the
+	// logarithms of the run times against those expected, over those of them, compared in
+	// number, that teach speeds.
+	degraded            bool
+	degradedAt          time.Time
+	confirmed, compared int
+	excess              float64
+	learned             bool
 	// forgotten is set once the record is discarded.
 	forgotten bool
 	// slowness is that of the speed, logSlowness its logarithm.
@@ -295,7 +296,7 @@
 	}
 	if len(s.groups) < 2 {
 		for _, w := range s.groups {
-			s.trial(now, w, w.sum-prior.Mean)
+			s.alone(now, w, prior)
 		}
 		return s.changes
 	}
@@ -362,11 +363,46 @@
 	return points[len(points)-1].value
 }
 
+// Alone applies a run that cannot be compared with others, since it depends on more than its
+// worker, and returns what has changed.
+func (s *Service) Alone(now time.Time, run Run, prior Prior) []Change {
+	s.changes = s.changes[:0]
+	s.group([]Run{run})
+	prior.Deviation = max(prior.Deviation, s.noise)
+	for _, w := range s.groups {
+		w.sum += w.raw - s.zero
+		s.alone(now, w, prior)
+	}
+	return s.changes
+}
+
+// alone applies the runs at a job's only worker. They teach no speed, as the error of the
+// declared time does not cancel out. Ordinary ones are evidence against a change: otherwise
+// the few overdue ones would add up until the worker counts as degraded. One job proves half
+// as much as in a comparison, since it may itself be the cause.
+func (s *Service) alone(now time.Time, w *Worker, prior Prior) {
+	excess := w.sum - prior.Mean
+	if w.degraded {
+		if s.stillSlow(w, excess) {
+			s.confirm(now, w, 0, false)
+		}
+		return
+	}
+	variance := prior.Deviation*prior.Deviation + s.noise*s.noise/w.n + w.variance
+	by := min(s.evidence(excess-w.doubt/w.n, w.change(), variance), s.bound/2)
+	if w.counted {
+		by = min(by, 0)
+	}
+	s.add(now, w, by, math.Exp(excess))
+}
+
 // update applies by how much a worker's run times were above those of the job elsewhere,
 // with the variance of the latter.
 func (s *Service) update(now time.Time, w *Worker, excess, variance float64) {
 	if w.degraded {
-		s.trial(now, w, excess)
+		if s.stillSlow(w, excess) {
+			s.confirm(now, w, excess, true)
+		}
 		return
 	}
 	variance += s.noise * s.noise / w.n
@@ -428,12 +464,17 @@
 	s.noise = min(max(s.noise*(1+step), minNoise), maxNoise)
 }
 
-// test adds the evidence of a job that a worker has become slower or faster.
-func (s *Service) test(now time.Time, w *Worker, excess, variance float64) {
-	change := slowerLog
+// change returns the logarithm of the factor that the test looks for.
+func (w *Worker) change() float64 {
 	if w.variance > testedVariance {
-		change = slowerUnknownLog
+		return slowerUnknownLog
 	}
+	return slowerLog
+}
+
+// test adds the evidence of a job that a worker has become slower or faster.
+func (s *Service) test(now time.Time, w *Worker, excess, variance float64) {
+	change := w.change()
 	w.faster = max(0, w.faster+s.evidence(-excess, change, variance))
 	if w.faster >= threshold {
 		// It was learned while the worker was slow; only the newest runs count.
@@ -472,29 +513,34 @@
 func (s *Service) add(now time.Time, w *Worker, by, ratio float64) {
 	w.slower = max(0, w.slower+by)
 	if w.slower >= threshold && !w.degraded {
-		w.degraded, w.degradedAt, w.confirmed, w.excess = true, now, 0, 0
+		w.degraded, w.degradedAt, w.confirmed, w.compared, w.excess = true, now, 0, 0, 0
 		s.changes = append(s.changes, Change{Worker: w, Kind: Degraded, Ratio: ratio})
 	}
 }
 
-// trial applies the run of a degraded worker that started after it became so.
-func (s *Service) trial(now time.Time, w *Worker, excess float64) {
-	if !w.degraded || !w.recent {
-		return
+// stillSlow applies the run of a degraded worker that started after it became so, and reports
+// whether it shows that the worker has not recovered.
+func (s *Service) stillSlow(w *Worker, excess float64) bool {
+	if !w.recent {
+		return false
 	}
 	if excess < recoveredLog || w.variance > testedVariance && excess < slowerUnknownLog/2 {
 		w.degraded, w.slower, w.faster = false, 0, 0
 		s.changes = append(s.changes, Change{Worker: w, Kind: Recovered})
-		return
+		return false
 	}
-	s.confirm(now, w, excess)
+	return true
 }
 
 // confirm records a job that took longer at a degraded worker. After long enough its
-// present run times are its speed, which is then learned anew from there.
-func (s *Service) confirm(now time.Time, w *Worker, excess float64) {
+// present run times are its speed, which is then learned anew: from there if they teach
+// speeds, or else from the speed before.
+func (s *Service) confirm(now time.Time, w *Worker, excess float64, compared bool) {
 	w.confirmed++
-	w.excess += (excess - w.excess) / float64(w.confirmed)
+	if compared {
+		w.compared++
+		w.excess += (excess - w.excess) / float64(w.compared)
+	}
 	if w.confirmed < relearnRuns || now.Sub(w.degradedAt) < relearnAfter {
 		return
 	}
@@ -504,14 +550,15 @@
 }
 
 // Overdue records a run that has not ended although nearly all others of its kind would
-// have: the share of those that take as long is given. It returns what has changed.
-func (s *Service) Overdue(now time.Time, w *Worker, share, ratio float64) []Change {
+// have: the share of those that take as long is given. compared is set if run times of the
+// kind teach speeds. It returns what has changed.
+func (s *Service) Overdue(now time.Time, w *Worker, share, ratio float64, compared bool) []Change {
 	s.changes = s.changes[:0]
 	if w.forgotten {
 		return nil
 	}
 	if w.degraded {
-		s.confirm(now, w, math.Log(max(ratio, 1)))
+		s.confirm(now, w, math.Log(max(ratio, 1)), compared)
 		return s.changes
 	}
 	s.add(now, w, min(-math.Log(max(share, 1e-9)), s.bound), ratio)
