Learn run times where most workers are degraded

Runs at degraded workers did not enter the run times of their job type. Where the declared times of a starting service are far too short, all workers count as making no progress, so that nothing was learned and all stayed degraded.

Let runs at degraded workers teach the job type while more than half of the workers are degraded.

TestFarTooShortRunTimesDegradeNobodyForLong failed before: 12 of 12 workers degraded after 30 s, 25 ms expected of tasks that take 2 s.

--- a/internal/core/entry/learning_test.go
+++ b/internal/core/entry/learning_test.go
@@ -419,10 +419,10 @@
 
 // submitShaped submits a job of some steps, one after the other, whose declared run times are
 // too short by a factor and of which 3 in 100 run for 7 times as long.
-func (f *learningFleet) submitShaped(steps, tasks int, affinity string, factor float64) {
+func (f *learningFleet) submitShaped(steps, tasks int, affinity string, run time.Duration, factor float64) {
 	f.jobs++
 	j := entry.Job{ID: f.jobs, Service: "s", JobType: "patient", Account: "a", Deadline: f.now.Add(20 * time.Second)}
-	work := 100 * float64(time.Millisecond) * math.Exp(0.4*f.rng.NormFloat64())
+	work := float64(run) * math.Exp(0.4*f.rng.NormFloat64())
 	if f.rng.Float64() < 0.03 {
 		work *= 7
 	}
@@ -434,7 +434,7 @@
 		for range tasks {
 			own := time.Duration(work * math.Exp(0.15*f.rng.NormFloat64()))
 			j.Tasks = append(j.Tasks, entry.Task{
-				Step: s, DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: time.Duration(100 * float64(time.Millisecond) / factor), Payload: []byte(own.String()),
+				Step: s, DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: time.Duration(float64(run) / factor), Payload: []byte(own.String()),
 			})
 		}
 	}
@@ -456,7 +456,7 @@
 			f := newLearningFleet(t, 12, true)
 			load := func(d time.Duration) {
 				for until := f.now.Add(d); f.now.Before(until); f.play(20 * time.Millisecond) {
-					f.submitShaped(test.steps, test.tasks, test.affinity, 1)
+					f.submitShaped(test.steps, test.tasks, test.affinity, 100*time.Millisecond, 1)
 				}
 			}
 			load(20 * time.Second)
@@ -476,3 +476,18 @@
 		})
 	}
 }
+
+// Guards against workers that all stay degraded because the declared run times of a job type
+// are far too short: nothing was learned from the runs of degraded workers.
+func TestFarTooShortRunTimesDegradeNobodyForLong(t *testing.T) {
+	const run, factor = 2 * time.Second, 80
+	for _, tasks := range []int{1, 2, 4} {
+		f := newLearningFleet(t, 12, true)
+		for until := f.now.Add(30 * time.Second); f.now.Before(until); f.play(100 * time.Millisecond) {
+			f.submitShaped(1, tasks, "", run, factor)
+		}
+		f.c.Check(f.judged[verdict.Slow]-f.judged[verdict.Sound] <= 1, qt.IsTrue, qt.Commentf("%d tasks: %v", tasks, f.judged))
+		expected := f.core.Expected("s", "patient", run/factor, "w00")
+		f.c.Check(expected > run/3 && expected < 3*run, qt.IsTrue, qt.Commentf("%d tasks: %v expected", tasks, expected))
+	}
+}
--- a/internal/core/estimate/estimate.go
+++ b/internal/core/estimate/estimate.go
@@ -165,6 +165,11 @@
 	return speed.Prior{Mean: math.Log(j.dist.Median()), Deviation: j.dist.Spread()}
 }
 
+// teaches reports whether the runs at a worker show how long those of the job's type take. If
+// most workers were left out, a type with declared times that are far too short would keep
+// them degraded.
+func (j *Job) teaches(w *speed.Worker) bool { return !w.Degraded() || j.speed.MostDegraded() }
+
 // blameLog is the logarithm of the run time against the expected one from which a run counts
 // against its worker, as in the test for a slower one.
 const blameLog = 0.47
@@ -181,7 +186,7 @@
 	if run.LogRatio-w.LogSlowness()-prior.Mean > blameLog {
 		j.blamed = w
 	}
-	if !w.Degraded() {
+	if j.teaches(w) {
 		j.dist.Observe(run.LogRatio-w.LogSlowness(), 1/float64(j.tasks))
 	}
 	return j.speed.Alone(now, run, prior)
@@ -218,7 +223,7 @@
 	}
 	prior := j.prior()
 	for _, r := range j.runs {
-		if !r.Worker.Degraded() {
+		if j.teaches(r.Worker) {
 			j.dist.Observe(r.LogRatio-r.Worker.LogSlowness(), 1/float64(len(j.runs)))
 		}
 	}
--- a/internal/core/speed/speed.go
+++ b/internal/core/speed/speed.go
@@ -179,9 +179,10 @@
 type Service struct {
 	workers map[string]*Worker
 	// zero is the zero of the scale of logarithms; sum and known are those of the workers
-	// with evidence.
+	// with evidence. degraded counts the degraded workers.
 	zero, sum float64
 	known     int
+	degraded  int
 	jobs      int
 	noise     float64
 	// outliers is the share of the values that are far off, and compared their number.
@@ -223,6 +224,7 @@
 	if w, ok := s.workers[name]; ok {
 		delete(s.workers, name)
 		w.forgotten = true
+		s.setDegraded(w, false)
 		if w.jobs > 0 {
 			s.known--
 			s.sum -= w.raw
@@ -230,6 +232,21 @@
 	}
 }
 
+func (s *Service) setDegraded(w *Worker, degraded bool) {
+	if w.degraded == degraded {
+		return
+	}
+	if w.degraded = degraded; degraded {
+		s.degraded++
+	} else {
+		s.degraded--
+	}
+}
+
+// MostDegraded reports whether more than half of the workers are degraded. The cause is then
+// probably not the workers.
+func (s *Service) MostDegraded() bool { return 2*s.degraded > len(s.workers) }
+
 // Len returns the number of workers with a record.
 func (s *Service) Len() int { return len(s.workers) }
 
@@ -513,7 +530,8 @@
 func (s *Service) add(now time.Time, w *Worker, by, ratio float64) {
 	w.slower = max(0, w.slower+by)
 	if w.slower >= threshold && !w.degraded {
-		w.degraded, w.degradedAt, w.confirmed, w.compared, w.excess = true, now, 0, 0, 0
+		s.setDegraded(w, true)
+		w.degradedAt, w.confirmed, w.compared, w.excess = now, 0, 0, 0
 		s.changes = append(s.changes, Change{Worker: w, Kind: Degraded, Ratio: ratio})
 	}
 }
@@ -525,7 +543,8 @@
 		return false
 	}
 	if excess < recoveredLog || w.variance > testedVariance && excess < slowerUnknownLog/2 {
-		w.degraded, w.slower, w.faster = false, 0, 0
+		s.setDegraded(w, false)
+		w.slower, w.faster = 0, 0
 		s.changes = append(s.changes, Change{Worker: w, Kind: Recovered})
 		return false
 	}
@@ -544,7 +563,8 @@
 	if w.confirmed < relearnRuns || now.Sub(w.degradedAt) < relearnAfter {
 		return
 	}
-	w.degraded, w.learned, w.slower, w.faster, w.variance = false, false, 0, 0, priorVariance
+	s.setDegraded(w, false)
+	w.learned, w.slower, w.faster, w.variance = false, 0, 0, priorVariance
 	s.move(w, -w.excess)
 	s.changes = append(s.changes, Change{Worker: w, Kind: Relearning})
 }
