Allow trials only where another start is still in time

A trial task of a degraded worker is to go to a job that is expected in time even if the run is stopped and starts elsewhere. The time until the stop was taken as the trial's share of the expected run time, without the time until an end may be noticed, until the run is looked at, and the uncertainty of the speed. Tasks of short urgent jobs were chosen, and their jobs were late.

Count these delays.

--- a/internal/core/estimate/estimate_test.go
+++ b/internal/core/estimate/estimate_test.go
@@ -238,3 +238,38 @@
 	c.Check(p.estimator.Expected("s", "long", time.Second, "w0") < 700*time.Millisecond, qt.IsTrue)
 	c.Check(p.estimator.Expected("s", "other", time.Second, "unknown").Round(10*time.Millisecond), qt.Equals, time.Second)
 }
+
+// Guards against trials of degraded workers with tasks whose jobs are late if the run is stopped
+// and starts again: a run is not looked at until some tens of milliseconds after its time.
+func TestTrialsLeaveTimeForAnotherStart(t *testing.T) {
+	c := qt.New(t)
+	p := newWorld(1, 65)
+	for range 2000 {
+		p.play(kinds[p.rng.IntN(3)], true)
+	}
+	w := p.worker(2)
+	trained := p.estimator.Job("s", "urgent", 8)
+	trained.Stalled(p.now, w, 8)
+	allowed := 0
+	for _, k := range kinds {
+		for target := 5 * time.Millisecond; target < 2*time.Second; target += 5 * time.Millisecond {
+			j := p.estimator.Job("s", k.name, k.tasks)
+			started := p.now.Add(time.Second)
+			wanted := j.Target(started, started, objective.Objective{Target: target, Factor: 1.6, Longest: k.declared}, k.declared, 0)
+			if !wanted.AllowsTrial(w) {
+				continue
+			}
+			allowed++
+			elapsed := j.FirstCheck(k.declared, w)
+			for ; ; elapsed += elapsed / 10 {
+				elapsed = (elapsed + tick - 1) / tick * tick
+				if j.Stop(Overrun{Worker: w, Declared: k.declared, Started: started, Elapsed: elapsed}, Alternative{Slowness: 1, Free: true, Delay: 5 * time.Millisecond}) {
+					break
+				}
+			}
+			end := elapsed + 5*time.Millisecond + j.Expected(k.declared, nil)
+			c.Check(end.Seconds() <= wanted.left, qt.IsTrue, qt.Commentf("%s, target %v: ends after %v, wanted after %.3f s", k.name, target, end, wanted.left))
+		}
+	}
+	c.Check(allowed > 100, qt.IsTrue)
+}
--- a/internal/core/estimate/target.go
+++ b/internal/core/estimate/target.go
@@ -65,10 +65,18 @@
 	return t
 }
 
+// lookDelay and lookShare are how late a run in progress is looked at: the caller does so on
+// ticks, and again after a tenth of the run time.
+const (
+	lookDelay = 20 * time.Millisecond
+	lookShare = 0.1
+)
+
 // AllowsTrial reports whether the task can be a trial of a degraded worker: its job can be
 // expected in time even if the run is stopped and starts again elsewhere.
 func (t *Target) AllowsTrial(w *speed.Worker) bool {
-	return !t.objective || t.left >= t.run*(trialFactor*w.Slowness()+1)
+	stopped := (1+lookShare)*(t.run*trialFactor*w.MaxSlowness()+noticeDelay.Seconds()) + lookDelay.Seconds()
+	return !t.objective || t.left >= stopped+t.run
 }
 
 // Penalty returns what the expected end at a worker subtracts from the worker's score. It is
