Let no earlier withdrawal keep a domain evacuated

A process that remembers the withdrawal of an evacuation, and has missed a later evacuation of the same domain and its withdrawal, reports the domain as not evacuated at the earlier version, with a state that is complete at a later one. Such a report withdrew nothing at a process that had missed the withdrawal only, as it names the domain. In the other direction the later evacuation was taken for new, although the state was complete at a later version, was pushed to all other processes, and no listing of the store ended it: it was in force until the next request for that domain.

A complete report withdraws what it does not name as evacuated, and a state that is complete takes no earlier evacuation of a domain that is not evacuated in it.

TestEarlierWithdrawalHidesNoLaterOne failed before.

--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -92,9 +92,11 @@
 // the domains that were not applied, each version of them once.
 func (s *State) Merge(r Report) (changed []Change, rejected []Rejection) {
 	complete := r.ListedAt <= maxVersion
-	named := make(map[string]bool, len(r.Domains))
+	// A domain that the report names as not evacuated may have been evacuated again and
+	// withdrawn since, up to ListedAt.
+	evacuated := make(map[string]bool, len(r.Domains))
 	for _, d := range r.Domains {
-		named[d.Name] = true
+		evacuated[d.Name] = evacuated[d.Name] || d.Evacuated
 		if r.ListedAt < s.listedAt && s.withdrawnBefore(d) {
 			continue
 		}
@@ -115,7 +117,7 @@
 		return changed, rejected
 	}
 	for _, d := range s.sorted() {
-		if d.Evacuated && d.Version < r.ListedAt && !named[d.Name] {
+		if d.Evacuated && d.Version < r.ListedAt && !evacuated[d.Name] {
 			d.Evacuated, d.Version = false, r.ListedAt
 			s.domains[d.Name] = d
 			changed = append(changed, Change{d, true})
@@ -149,11 +151,10 @@
 	return true, nil
 }
 
-// withdrawnBefore reports whether an evacuation is unknown although the state is complete at
-// its version or a later one: it was withdrawn before this process learned of it.
+// withdrawnBefore reports whether an evacuation is not known to be in force although the state
+// is complete at its version or a later one: it was withdrawn before this process learned of it.
 func (s *State) withdrawnBefore(d Domain) bool {
-	_, known := s.domains[d.Name]
-	return !known && d.Evacuated && d.Version <= s.listedAt && !s.overflowed
+	return !s.domains[d.Name].Evacuated && d.Evacuated && d.Version <= s.listedAt && !s.overflowed
 }
 
 // makeRoom drops the oldest withdrawn evacuation if the new state is worth more: it is an
--- a/internal/core/evacuation/evacuation_test.go
+++ b/internal/core/evacuation/evacuation_test.go
@@ -53,7 +53,8 @@
 // evacuation that comes back after its withdrawal, or a withdrawal that a late message undoes.
 // Several processes get events and listings of one store late, repeatedly and in any order,
 // and pass on what they know. Each has to hold, for each domain, the newest state that it was
-// told of, and after the newest listing that of the store.
+// told of, no evacuation that a listing or a complete report shows to be withdrawn, and after
+// the newest listing the state of the store.
 func TestStateFollowsTheNewestReport(t *testing.T) {
 	qt.Assert(t, flag.Set("rapid.seed", "1"), qt.IsNil)
 	qt.Assert(t, flag.Set("rapid.nofailfile", "true"), qt.IsNil)
@@ -70,8 +71,7 @@
 		}
 		var complete [3]uint64
 		learn := func(i int, d evacuation.Domain, listedAt uint64) {
-			unknown := told[i][d.Name].Version == 0
-			if unknown && d.Evacuated && d.Version <= complete[i] && listedAt < complete[i] {
+			if !told[i][d.Name].Evacuated && d.Evacuated && d.Version <= complete[i] && listedAt < complete[i] {
 				return
 			}
 			if d.Version > told[i][d.Name].Version {
@@ -109,13 +109,19 @@
 				}
 				if r.ListedAt > 0 {
 					for name, d := range told[i] {
-						if d.Evacuated && d.Version < r.ListedAt && told[from][name].Version == 0 {
+						if d.Evacuated && d.Version < r.ListedAt && !told[from][name].Evacuated {
 							told[i][name] = off(name, r.ListedAt)
 						}
 					}
 					complete[i] = max(complete[i], r.ListedAt)
 				}
 			}
+			listed := store.at(complete[i])
+			for _, d := range processes[i].InForce() {
+				if d.Version <= complete[i] && listed[d.Name] != d.Version {
+					t.Fatalf("process %d: %+v although the state is complete at version %d, %v", i, d, complete[i], listed)
+				}
+			}
 			for name, d := range told[i] {
 				if got := processes[i].Evacuated(name); got != d.Evacuated {
 					t.Fatalf("process %d: %s evacuated %v, last told %+v, state %+v", i, name, got, d, processes[i].Report())
@@ -204,3 +210,21 @@
 	c.Check(s.InForce(), qt.HasLen, evacuation.MaxDomains)
 	c.Check(s.Report().ListedAt, qt.Equals, uint64(0))
 }
+
+// Guards against a domain that stays evacuated, at a process that has missed the withdrawal or
+// at one that knows better, because another process remembers an earlier withdrawal: a complete
+// report that tells of the earlier one also tells that the later evacuation was withdrawn.
+func TestEarlierWithdrawalHidesNoLaterOne(t *testing.T) {
+	c := qt.New(t)
+	var missed, complete evacuation.State
+	missed.Merge(evacuation.Report{Domains: []evacuation.Domain{on("z", 10)}, ListedAt: 12})
+	complete.Merge(evacuation.Report{Domains: []evacuation.Domain{off("z", 5)}})
+	complete.Merge(evacuation.Report{Domains: []evacuation.Domain{off("z", 5)}, ListedAt: 20})
+	complete.Merge(missed.Report())
+	c.Check(complete.Evacuated("z"), qt.IsFalse, qt.Commentf("withdrawn by version 20"))
+	missed.Merge(complete.Report())
+	c.Check(missed.Evacuated("z"), qt.IsFalse, qt.Commentf("withdrawn by version 20"))
+	complete.Merge(evacuation.Report{Domains: []evacuation.Domain{on("z", 21)}})
+	missed.Merge(complete.Report())
+	c.Check(complete.Evacuated("z") && missed.Evacuated("z"), qt.IsTrue)
+}
