Do not count a full state as complete after an old listing

A state that has found no place for an evacuated domain is complete at no version. A listing from before that evacuation made it complete at the newer version reached before, so that other processes took the domain back.

TestOldListingCompletesNothing failed before.

--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -123,7 +123,9 @@
 			changed = append(changed, Change{d, true})
 		}
 	}
-	s.listedAt, s.overflowed = max(s.listedAt, r.ListedAt), false
+	if r.ListedAt >= s.listedAt {
+		s.listedAt, s.overflowed = r.ListedAt, false
+	}
 	return changed, rejected
 }
 
--- a/internal/core/evacuation/evacuation_test.go
+++ b/internal/core/evacuation/evacuation_test.go
@@ -228,3 +228,23 @@
 	missed.Merge(complete.Report())
 	c.Check(complete.Evacuated("z") && missed.Evacuated("z"), qt.IsTrue)
 }
+
+// Guards against a domain that another process takes back because this one, which has found no
+// place for it, counts as complete again after a listing from before the evacuation.
+func TestOldListingCompletesNothing(t *testing.T) {
+	c := qt.New(t)
+	var s evacuation.State
+	var known []evacuation.Domain
+	for i := range evacuation.MaxDomains {
+		known = append(known, on(fmt.Sprint("z", i), uint64(1+i)))
+	}
+	s.Merge(evacuation.Report{Domains: known, ListedAt: 100})
+	_, rejected := s.Merge(evacuation.Report{Domains: append(known, on("more", 150)), ListedAt: 200})
+	c.Assert(rejected, qt.HasLen, 1)
+	s.Merge(evacuation.Report{Domains: known, ListedAt: 120})
+	c.Check(s.Report().ListedAt <= 149, qt.IsTrue, qt.Commentf("complete at %d without the domain", s.Report().ListedAt))
+	s.Merge(evacuation.Report{Domains: known, ListedAt: 300})
+	s.Merge(evacuation.Report{Domains: append(known, on("more", 350))})
+	s.Merge(evacuation.Report{Domains: known, ListedAt: 290})
+	c.Check(s.Report().ListedAt, qt.Equals, uint64(0))
+}
