Discard with a worker's speed that it is degraded

When a worker comes back after it left, its speed is discarded, but the entry went on to treat it as slow. Only a change of the speed's record ends that, and the new record was not degraded: the worker got trial tasks only, until it was degraded once more and recovered, or its agent restarted.

TestDegradedWorkerThatLeavesIsUsedAgain failed before: 2 tasks in 10 s.

--- a/internal/core/entry/learning.go
+++ b/internal/core/entry/learning.go
@@ -34,11 +34,12 @@
 	w.speed = c.estimates.Worker(h.Service, w.name)
 }
 
-// forgetSpeed discards what is known of a worker whose instance has ended.
+// forgetSpeed discards what is known of a worker whose instance has ended. With it goes that
+// it is degraded: no run could show any more that it has recovered.
 func (c *Core) forgetSpeed(w *worker) {
 	if w.speed != nil {
 		c.estimates.Forget(w.hello.Service, w.name)
-		w.speed = nil
+		w.speed, w.slowdown = nil, slowdown{}
 	}
 }
 
--- a/internal/core/entry/learning_test.go
+++ b/internal/core/entry/learning_test.go
@@ -491,3 +491,25 @@
 		f.c.Check(expected > run/3 && expected < 3*run, qt.IsTrue, qt.Commentf("%d tasks: %v expected", tasks, expected))
 	}
 }
+
+// Guards against a worker that gets trial tasks only for good: it was degraded, left and came
+// back, so that its speed was discarded and nothing showed any more that it had recovered.
+func TestDegradedWorkerThatLeavesIsUsedAgain(t *testing.T) {
+	f := newLearningFleet(t, 12, true)
+	f.load(5 * time.Second)
+	bad := f.links[1]
+	f.slowness[bad] *= 7.5
+	f.load(2 * time.Second)
+	f.c.Assert(f.judged[verdict.Slow], qt.Equals, 1)
+	f.slowness[bad] /= 7.5
+	f.play(2 * time.Second)
+	w := f.workers[bad]
+	f.c.Assert(w.cores, qt.Equals, 48.0)
+	for _, leaving := range []bool{true, false} {
+		w.hello(leaving)
+		f.play(100 * time.Millisecond)
+	}
+	clear(f.started)
+	f.load(10 * time.Second)
+	f.c.Check(f.started[bad] > 100, qt.IsTrue, qt.Commentf("%d tasks in 10 s", f.started[bad]))
+}
