Take no task away from its data as evidence against its worker

With learned speeds, tasks that run away from their data, where they take longer, let their workers count as making no progress, and, since such runs are applied alone, as slower than before.

Let long runs away from the data count for nothing, and give them three times as long until they count as standing still.

TestTasksAwayFromTheirDataAreNoEvidence failed before: 4 of 10 healthy workers without the data judged slow in 20 s where tasks take 2.4 times as long there, 5 with only the second of the two changes.

--- a/internal/core/entry/learning.go
+++ b/internal/core/entry/learning.go
@@ -104,7 +104,8 @@
 		w.slowdown.at = now
 	}
 	if j.learnsAlone(a.task) {
-		c.applySpeedChanges(now, j.estimate.EndedAlone(now, w.speed, a.sentAt, took, j.spec.Tasks[a.task].DeclaredRunTime, a.overdue))
+		counted := a.overdue || w.awayFromData(j.step(a.task))
+		c.applySpeedChanges(now, j.estimate.EndedAlone(now, w.speed, a.sentAt, took, j.spec.Tasks[a.task].DeclaredRunTime, counted))
 		return
 	}
 	j.estimate.Ended(w.speed, a.sentAt, took, j.spec.Tasks[a.task].DeclaredRunTime, a.overdue)
@@ -182,8 +183,7 @@
 	if now.Before(a.checkAt) || a.stop || !j.restartable() || j.spec.Tasks[a.task].DeclaredRunTime <= 0 {
 		return
 	}
-	if affinity := j.step(a.task).Affinity; affinity != "" && !w.hasLabel(affinity) && !w.slowdown.slow() {
-		// A task takes longer away from its data.
+	if w.awayFromData(j.step(a.task)) && !w.slowdown.slow() {
 		return
 	}
 	o := c.overrun(now, w, a)
@@ -205,6 +205,12 @@
 	}
 }
 
+// awayFromData reports whether the step's tasks take longer at the worker than near their data,
+// so that a long run says nothing about the worker.
+func (w *worker) awayFromData(step Step) bool {
+	return step.Affinity != "" && !w.hasLabel(step.Affinity)
+}
+
 // countOverdue lets an attempt that takes long count against its worker, once.
 func (c *Core) countOverdue(now time.Time, a *attempt, o *estimate.Overrun, share float64) {
 	if a.overdue {
--- a/internal/core/entry/learning_test.go
+++ b/internal/core/entry/learning_test.go
@@ -31,6 +31,8 @@
 	judged  map[verdict.WorkerHealth]int
 	learned map[string]float64
 	started map[entry.LinkID]int
+	// away multiplies the run times at workers without labels, if it is not zero.
+	away float64
 	// lateEnds is the share of the ends that are noticed 30 ms late.
 	lateEnds float64
 	// discarded holds the counts of invalid run times.
@@ -124,6 +126,9 @@
 		work, err := time.ParseDuration(string(m.Payload))
 		f.c.Assert(err, qt.IsNil)
 		took := time.Duration(float64(work) * f.slowness[s.Link])
+		if f.away > 0 && len(f.workers[s.Link].labels) == 0 {
+			took = time.Duration(f.away * float64(took))
+		}
 		if f.rng.Float64() < f.lateEnds {
 			took += 30 * time.Millisecond
 		}
@@ -454,6 +459,10 @@
 	}{{"one task", 1, 1, ""}, {"two steps", 2, 2, ""}, {"affinity", 1, 2, "near"}} {
 		t.Run(test.name, func(t *testing.T) {
 			f := newLearningFleet(t, 12, true)
+			for _, w := range f.workers {
+				w.labels = []string{"near"}
+				w.hello(false)
+			}
 			load := func(d time.Duration) {
 				for until := f.now.Add(d); f.now.Before(until); f.play(20 * time.Millisecond) {
 					f.submitShaped(test.steps, test.tasks, test.affinity, 100*time.Millisecond, 1)
@@ -513,3 +522,21 @@
 	f.load(10 * time.Second)
 	f.c.Check(f.started[bad] > 100, qt.IsTrue, qt.Commentf("%d tasks in 10 s", f.started[bad]))
 }
+
+// Guards against workers that are judged degraded because tasks take longer there, away from
+// their data, than at the few workers near it.
+func TestTasksAwayFromTheirDataAreNoEvidence(t *testing.T) {
+	f := newLearningFleet(t, 12, true)
+	f.away = 2.4
+	for _, link := range f.links[:2] {
+		f.workers[link].labels = []string{"near"}
+		f.workers[link].hello(false)
+	}
+	for until := f.now.Add(20 * time.Second); f.now.Before(until); f.play(20 * time.Millisecond) {
+		f.submitShaped(1, 2, "near", 300*time.Millisecond, 1)
+	}
+	atNear := f.started[f.links[0]] + f.started[f.links[1]]
+	f.c.Check(atNear > 200 && atNear < 1800, qt.IsTrue, qt.Commentf("%d of 2000 tasks near their data", atNear))
+
+	f.c.Check(f.judged[verdict.Slow] <= 1, qt.IsTrue, qt.Commentf("%v", f.judged))
+}
--- a/internal/core/entry/slowdown.go
+++ b/internal/core/entry/slowdown.go
@@ -169,15 +169,21 @@
 	}
 }
 
+// awayFactor is by how much longer a task may take away from its data before it is taken for
+// one without progress.
+const awayFactor = 3
+
 // runningSinceLastEnd returns the worker's attempts that were dispatched after the latest
 // end there.
 func (w *worker) runningSinceLastEnd(now time.Time) []health.Running {
 	var running []health.Running
 	for _, a := range w.outstanding {
 		if a.sentAt.After(w.lastEnd) {
-			running = append(running, health.Running{
-				Job: a.job.spec.ID, For: now.Sub(a.sentAt), Expected: a.job.estimate.Longest(a.job.spec.Tasks[a.task].DeclaredRunTime, w.speed),
-			})
+			expected := a.job.estimate.Longest(a.job.spec.Tasks[a.task].DeclaredRunTime, w.speed)
+			if w.speed != nil && w.awayFromData(a.job.step(a.task)) {
+				expected *= awayFactor
+			}
+			running = append(running, health.Running{Job: a.job.spec.ID, For: now.Sub(a.sentAt), Expected: expected})
 		}
 	}
 	return running
