--- a/internal/command/provide.go
+++ b/internal/command/provide.go
@@ -87,7 +87,7 @@
 	return agent.Config{
 		Worker: s.Worker, FailureDomain: s.FailureDomain, Incarnation: incarnation, Epoch: time.Time(clockEpoch),
 		ReleaseAfter: lease.ReleaseAfter(lease.Config{}), DetectStalls: s.DetectStalls,
-		ResultKeep:   s.Timing.ResultKeep.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
+		ResultKeep: s.Timing.ResultKeep.Duration, HeartbeatInterval: s.Timing.HeartbeatInterval.Duration,
 		IdleHeartbeat: s.Timing.IdleHeartbeat.Duration, EntrySilence: s.Timing.EntrySilence.Duration,
 		Evacuations: s.Evacuations,
 	}
--- a/internal/core/agent/stall.go
+++ b/internal/core/agent/stall.go
@@ -13,7 +13,7 @@
 
 // stallState is the state of the worker's progress.
 type stallState struct {
-	detector stall.Detector
+	detector  stall.Detector
 	lastCheck time.Time
 	// running is reused by every check.
 	running []stall.Running
