--- a/internal/core/entry/learning.go
+++ b/internal/core/entry/learning.go
@@ -36,12 +36,13 @@
 	}
 }
 
-// forgetSpeed discards what is known of a worker whose instance has ended.
+// forgetSpeed discards what is known of a worker whose instance has ended. With it goes that
+// it is degraded: no run could show any more that it has recovered.
 func (c *Core) forgetSpeed(w *worker) {
 	c.separations.forgetWorker(w)
 	if w.speed != nil {
 		c.estimates.Forget(w.hello.Service, w.name)
-		w.speed = nil
+		w.speed, w.slowdown = nil, slowdown{}
 	}
 }
 
@@ -93,11 +94,15 @@
 	a.checkAt = now.Add(a.job.estimate.FirstCheck(declared, a.worker.speed))
 }
 
+// learnsAlone reports whether the run time of a task depends on more than its worker, so that
+// it is not compared with those of the job's other tasks.
+func (j *job) learnsAlone(task int) bool { return len(j.spec.Steps) > 1 || j.step(task).Affinity != "" }
+
 // learnRun records the run of an ended task. The tasks of a job are compared once all have
 // ended.
 func (c *Core) learnRun(now time.Time, a *attempt, w *worker, took time.Duration) {
 	j := a.job
-	if !w.hello.Leased() || len(j.spec.Steps) > 1 || j.step(a.task).Affinity != "" {
+	if !w.hello.Leased() {
 		return
 	}
 	if !runtimes.Valid(took) {
@@ -108,6 +113,11 @@
 	if w.slowdown.slow() {
 		w.slowdown.at = now
 	}
+	if j.learnsAlone(a.task) {
+		counted := a.overdue || w.awayFromData(j.step(a.task))
+		c.applySpeedChanges(now, j.estimate.EndedAlone(now, w.speed, a.sentAt, took, j.spec.Tasks[a.task].DeclaredRunTime, counted))
+		return
+	}
 	j.estimate.Ended(w.speed, a.sentAt, took, j.spec.Tasks[a.task].DeclaredRunTime, a.overdue)
 	if j.estimate.Runs() == len(j.tasks) {
 		c.applySpeedChanges(now, j.estimate.Finish(now))
@@ -154,7 +164,7 @@
 	o := estimate.Overrun{
 		Worker: w.speed, Declared: a.job.spec.Tasks[a.task].DeclaredRunTime,
 		Elapsed: now.Sub(a.sentAt) - c.answerAllowance(), Started: a.sentAt,
-		Counted: a.overdue, Stops: a.job.tasks[a.task].stops,
+		Counted: a.overdue, Alone: a.job.learnsAlone(a.task), Stops: a.job.tasks[a.task].stops,
 	}
 	for i := range a.job.tasks {
 		other := a.job.tasks[i].attempt
@@ -183,8 +193,7 @@
 	if now.Before(a.checkAt) || a.stop || !j.restartable() || j.spec.Tasks[a.task].DeclaredRunTime <= 0 {
 		return
 	}
-	if affinity := j.step(a.task).Affinity; affinity != "" && !w.hasLabel(affinity) && !w.slowdown.slow() {
-		// A task takes longer away from its data.
+	if w.awayFromData(j.step(a.task)) && !w.slowdown.slow() {
 		return
 	}
 	o := c.overrun(now, w, a)
@@ -206,6 +215,12 @@
 	}
 }
 
+// awayFromData reports whether the step's tasks take longer at the worker than near their data,
+// so that a long run says nothing about the worker.
+func (w *worker) awayFromData(step Step) bool {
+	return step.Affinity != "" && !w.hasLabel(step.Affinity)
+}
+
 // countOverdue lets an attempt that takes long count against its worker, once.
 func (c *Core) countOverdue(now time.Time, a *attempt, o *estimate.Overrun, share float64) {
 	if a.overdue {
--- a/internal/core/entry/learning_test.go
+++ b/internal/core/entry/learning_test.go
@@ -31,6 +31,8 @@
 	judged  map[verdict.WorkerHealth]int
 	learned map[string]float64
 	started map[entry.LinkID]int
+	// away multiplies the run times at workers without labels, if it is not zero.
+	away float64
 	// lateEnds is the share of the ends that are noticed 30 ms late.
 	lateEnds float64
 	// discarded holds the counts of invalid run times.
@@ -124,6 +126,9 @@
 		work, err := time.ParseDuration(string(m.Payload))
 		f.c.Assert(err, qt.IsNil)
 		took := time.Duration(float64(work) * f.slowness[s.Link])
+		if f.away > 0 && len(f.workers[s.Link].labels) == 0 {
+			took = time.Duration(f.away * float64(took))
+		}
 		if f.rng.Float64() < f.lateEnds {
 			took += 30 * time.Millisecond
 		}
@@ -416,3 +421,122 @@
 		qt.New(t).Check(2*late[true] < late[false], qt.IsTrue, qt.Commentf("%v", late))
 	}
 }
+
+// submitShaped submits a job of some steps, one after the other, whose declared run times are
+// too short by a factor and of which 3 in 100 run for 7 times as long.
+func (f *learningFleet) submitShaped(steps, tasks int, affinity string, run time.Duration, factor float64) {
+	f.jobs++
+	j := entry.Job{ID: f.jobs, Service: "s", JobType: "patient", Account: "a", Deadline: f.now.Add(20 * time.Second)}
+	work := float64(run) * math.Exp(0.4*f.rng.NormFloat64())
+	if f.rng.Float64() < 0.03 {
+		work *= 7
+	}
+	for s := range steps {
+		j.Steps = append(j.Steps, entry.Step{Affinity: affinity})
+		if s > 0 {
+			j.Steps[s].After = []int{s - 1}
+		}
+		for range tasks {
+			own := time.Duration(work * math.Exp(0.15*f.rng.NormFloat64()))
+			j.Tasks = append(j.Tasks, entry.Task{
+				Step: s, DeclaredSize: msg.Size{Cores: 3}, DeclaredRunTime: time.Duration(float64(run) / factor), Payload: []byte(own.String()),
+			})
+		}
+	}
+	f.step(entry.Submit{Job: j})
+	f.collect()
+}
+
+// Guards against healthy workers that are judged degraded one after the other, and a degraded
+// one that is not noticed or never used again, because all jobs are of a kind that teaches no
+// speeds: long runs counted against a worker and ordinary ones not for it. At most one healthy
+// worker in 20 s is judged, as in the tests of package speed.
+func TestJobsThatTeachNoSpeeds(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		steps, tasks int
+		affinity     string
+	}{{"one task", 1, 1, ""}, {"two steps", 2, 2, ""}, {"affinity", 1, 2, "near"}} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newLearningFleet(t, 12, true)
+			for _, w := range f.workers {
+				w.labels = []string{"near"}
+				w.hello(false)
+			}
+			load := func(d time.Duration) {
+				for until := f.now.Add(d); f.now.Before(until); f.play(20 * time.Millisecond) {
+					f.submitShaped(test.steps, test.tasks, test.affinity, 100*time.Millisecond, 1)
+				}
+			}
+			load(20 * time.Second)
+			f.c.Check(f.judged[verdict.Slow] <= 1, qt.IsTrue, qt.Commentf("%v", f.judged))
+			load(10 * time.Second)
+			clear(f.judged)
+			bad := f.links[1]
+			f.slowness[bad] *= 7.5
+			load(6 * time.Second)
+			f.c.Check(f.judged[verdict.Slow] >= 1, qt.IsTrue, qt.Commentf("%v", f.judged))
+			f.slowness[bad] /= 7.5
+			// A trial task is long by chance now and then, and there is one every 6 s.
+			load(30 * time.Second)
+			clear(f.started)
+			load(5 * time.Second)
+			f.c.Check(f.started[bad] > 10, qt.IsTrue, qt.Commentf("%d tasks after the worker is healthy again", f.started[bad]))
+		})
+	}
+}
+
+// Guards against workers that all stay degraded because the declared run times of a job type
+// are far too short: nothing was learned from the runs of degraded workers.
+func TestFarTooShortRunTimesDegradeNobodyForLong(t *testing.T) {
+	const run, factor = 2 * time.Second, 80
+	for _, tasks := range []int{1, 2, 4} {
+		f := newLearningFleet(t, 12, true)
+		for until := f.now.Add(30 * time.Second); f.now.Before(until); f.play(100 * time.Millisecond) {
+			f.submitShaped(1, tasks, "", run, factor)
+		}
+		f.c.Check(f.judged[verdict.Slow]-f.judged[verdict.Sound] <= 1, qt.IsTrue, qt.Commentf("%d tasks: %v", tasks, f.judged))
+		expected := f.core.Expected("s", "patient", run/factor, "w00")
+		f.c.Check(expected > run/3 && expected < 3*run, qt.IsTrue, qt.Commentf("%d tasks: %v expected", tasks, expected))
+	}
+}
+
+// Guards against a worker that gets trial tasks only for good: it was degraded, left and came
+// back, so that its speed was discarded and nothing showed any more that it had recovered.
+func TestDegradedWorkerThatLeavesIsUsedAgain(t *testing.T) {
+	f := newLearningFleet(t, 12, true)
+	f.load(5 * time.Second)
+	bad := f.links[1]
+	f.slowness[bad] *= 7.5
+	f.load(2 * time.Second)
+	f.c.Assert(f.judged[verdict.Slow], qt.Equals, 1)
+	f.slowness[bad] /= 7.5
+	f.play(2 * time.Second)
+	w := f.workers[bad]
+	f.c.Assert(w.cores, qt.Equals, 48.0)
+	for _, leaving := range []bool{true, false} {
+		w.hello(leaving)
+		f.play(100 * time.Millisecond)
+	}
+	clear(f.started)
+	f.load(10 * time.Second)
+	f.c.Check(f.started[bad] > 100, qt.IsTrue, qt.Commentf("%d tasks in 10 s", f.started[bad]))
+}
+
+// Guards against workers that are judged degraded because tasks take longer there, away from
+// their data, than at the few workers near it.
+func TestTasksAwayFromTheirDataAreNoEvidence(t *testing.T) {
+	f := newLearningFleet(t, 12, true)
+	f.away = 2.4
+	for _, link := range f.links[:2] {
+		f.workers[link].labels = []string{"near"}
+		f.workers[link].hello(false)
+	}
+	for until := f.now.Add(20 * time.Second); f.now.Before(until); f.play(20 * time.Millisecond) {
+		f.submitShaped(1, 2, "near", 300*time.Millisecond, 1)
+	}
+	atNear := f.started[f.links[0]] + f.started[f.links[1]]
+	f.c.Check(atNear > 200 && atNear < 1800, qt.IsTrue, qt.Commentf("%d of 2000 tasks near their data", atNear))
+
+	f.c.Check(f.judged[verdict.Slow] <= 1, qt.IsTrue, qt.Commentf("%v", f.judged))
+}
