Show a job that runs after its cancel was answered 410

Cause: an entry that has given no answer for 2 s is not asked for a job any more, but a frozen one takes the requests that wait in its sockets when it goes on, and the cancels that waited beside them were given up.

The second step of the job started 3.5 s after the answer 410.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -28,6 +28,8 @@
 	switch os.Args[1] {
 	case "in-turn":
 		err = caseInTurn(s, trouble)
+	case "frozen":
+		err = caseFrozen(s, trouble)
 	case "mix":
 		seed, _ := strconv.ParseUint(os.Args[3], 10, 64)
 		seconds, _ := strconv.Atoi(os.Args[4])
