Show a job that a suspended entry starts beside its second copy

Cause: an entry takes a job whose connection is not closed when it is read. After a suspension the request arrives before the end of its connection.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -30,7 +30,9 @@
 		err = caseInTurn(s, trouble)
 	case "frozen":
 		err = caseFrozen(s, trouble)
-	case "mix":
+	case "suspended":
+		err = caseSuspended(s, trouble)
+	case "mix", "config-mix":
 		seed, _ := strconv.ParseUint(os.Args[3], 10, 64)
 		seconds, _ := strconv.Atoi(os.Args[4])
 		s.putConfig(false, queues...)
@@ -42,7 +44,11 @@
 			fmt.Fprintln(os.Stderr, err)
 			return
 		}
-		mix(s, seed, time.Duration(seconds)*time.Second, os.Args[5])
+		if os.Args[1] == "config-mix" {
+			configMix(s, seed, time.Duration(seconds)*time.Second, os.Args[5])
+		} else {
+			mix(s, seed, time.Duration(seconds)*time.Second, os.Args[5])
+		}
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standins-3/mix.go
+++ b/review/standins-3/mix.go
@@ -248,7 +248,7 @@
 			if p.wait(0) {
 				continue
 			}
-			d := time.Duration(100+rng.IntN(2500)) * time.Millisecond
+			d := time.Duration(100+rng.IntN(4200)) * time.Millisecond
 			p.signal(syscall.SIGSTOP)
 			group.Go(func() { time.Sleep(d); p.signal(syscall.SIGCONT) })
 		case "crash", "crash-kind":
