Show a job that runs on behind refused connections after a 410

Cause: an entry takes a refused connection for the end of the entry that has the job, and answers the cancel with 410.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -32,6 +32,8 @@
 		err = caseFrozen(s, trouble)
 	case "suspended":
 		err = caseSuspended(s, trouble)
+	case "refused":
+		err = caseRefused(s, trouble)
 	case "mix", "config-mix":
 		seed, _ := strconv.ParseUint(os.Args[3], 10, 64)
 		seconds, _ := strconv.Atoi(os.Args[4])
--- a/review/standins-3/system.go
+++ b/review/standins-3/system.go
@@ -201,12 +201,17 @@
 
 // build makes the processes of a deployment and starts them. advertise, unless nil, gives the
 // address at which others reach an entry.
-func (s *system) build(entries, workers int, advertise func(name, address string) string) error {
+func (s *system) build(entries, workers int, advertise func(i int, address string) string) error {
 	var controls []string
 	for range entries {
 		controls = append(controls, freeAddress())
 	}
 	seeds := append([]string(nil), controls...)
+	if advertise != nil {
+		for i := range seeds {
+			seeds[i] = advertise(i, controls[i])
+		}
+	}
 	for i := range entries {
 		name := fmt.Sprintf("front-%d", i+1)
 		front, ready := freeAddress(), freeAddress()
@@ -218,9 +223,7 @@
 		}
 		p.control, p.front = controls[i], front
 		if advertise != nil {
-			if a := advertise(name, controls[i]); a != "" {
-				p.args = append(p.args, "--advertise", a)
-			}
+			p.args = append(p.args, "--advertise", seeds[i])
 		}
 		s.entries = append(s.entries, p)
 	}
