Show a late copy of a job that starts after its cancel

Cause: a cancel that finds the job at its own entry is not passed on, and an entry whose machine was suspended takes the first copy, whose client has left.

--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -39,6 +39,8 @@
 		err = caseFrozen(s, trouble)
 	case "suspended":
 		err = caseSuspended(s, trouble)
+	case "late-copy":
+		err = caseLateCopy(s, trouble)
 	case "refused":
 		err = caseRefused(s, trouble)
 	default:
