Log jobs that come over connections older than a pause

The logs could not tell three explanations apart: the request was read before the suspension, its tasks were dispatched before it and carried out late, or it was read after it. Event 2206 says that a job reached the core over a connection that was opened before the latest pause.

A pause is found by the first goroutine that asks, so that the answer does not depend on the order in which goroutines continue. A connection that waited in the accept queue through a pause counts as opened before it.

--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/linkpb"
@@ -63,6 +64,7 @@
 	}
 	d.loop.log = log
 	d.loop.metrics, d.counts.metrics = o.metrics, o.metrics
+	d.watchPauses(d.loop.pauses)
 	jobs := &runner{loop: d.loop, names: newJobNames(), jobTimeout: o.limits.JobTimeout}
 	d.jobs = jobs
 	d.keyed = newKeyedRequests(o, jobs, log)
@@ -80,6 +82,15 @@
 	return d
 }
 
+// watchPauses makes the loop and the servers use the given counter of pauses. Call it before
+// Run.
+func (d *Daemon) watchPauses(p *clock.Pauses) {
+	d.loop.pauses = p
+	for _, s := range append(d.adapterServers, d.server) {
+		s.WatchPauses(p)
+	}
+}
+
 // CountMessages makes c count the messages that the entry sends on its links. Call it
 // before Run.
 func (d *Daemon) CountMessages(c *linkpb.Counter) { d.links.counter = c }
--- a/internal/entryd/frontdoor.go
+++ b/internal/entryd/frontdoor.go
@@ -22,7 +22,10 @@
 
 // Attach adds the server of an adapter. Run serves it and, when the entry stops, shuts
 // it down once its requests are answered. Call Attach before Run.
-func (d *Daemon) Attach(s *httpserver.Server) { d.adapterServers = append(d.adapterServers, s) }
+func (d *Daemon) Attach(s *httpserver.Server) {
+	s.WatchPauses(d.loop.pauses)
+	d.adapterServers = append(d.adapterServers, s)
+}
 
 // firstPolicyTimeout bounds how long after the start a request waits for the first
 // policy. The store answers within milliseconds, while refused callers come back only
--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -33,7 +33,7 @@
 	metrics *telemetry.Metrics
 	log     *zap.Logger
 	load    load
-	pauses  clock.PauseDetector
+	pauses  *clock.Pauses
 }
 
 // waiter receives the progress and the answer of one job.
@@ -52,6 +52,7 @@
 		inputs:  make(chan func(time.Time), inputQueueSize),
 		stopped: make(chan struct{}),
 		log:     zap.NewNop(),
+		pauses:  clock.NewPauses(clock.Read),
 		waiters: make(map[uint64]*waiter),
 		links:   make(map[entry.LinkID]*linkOutbox),
 	}
@@ -116,10 +117,10 @@
 		f := <-l.inputs
 		f(clock.Now())
 	}
-	now, suspended := clock.Read()
-	if p, paused := l.pauses.Tick(now, suspended); paused {
+	for _, p := range l.pauses.Take() {
 		l.paused(p)
 	}
+	now := clock.Now()
 	l.core.Tick(now)
 	l.logLoad(now)
 }
--- a/internal/entryd/runner.go
+++ b/internal/entryd/runner.go
@@ -5,10 +5,13 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/httpserver"
+	"github.com/poplarlever/poplarlever/internal/logevent"
 	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
 )
 
@@ -51,7 +54,8 @@
 // caller that has gone: while this process was paused, it may have sent the job elsewhere.
 func (r *runner) submit(ctx context.Context, name jobName, job entry.Job, report func(entry.Progress) error) entry.Answer {
 	job.ReceivedAt = clock.Now()
-	if httpserver.ConnectionOf(ctx).Closed() {
+	connection := httpserver.ConnectionOf(ctx)
+	if connection.Closed() {
 		return cancelledBeforeSubmit()
 	}
 	w := &waiter{name: name.id, submittedAt: time.Now(), answer: make(chan entry.Answer, 1)}
@@ -63,6 +67,9 @@
 	r.loop.post(func(now time.Time) {
 		received.Store(true)
 		r.loop.load.submitted(now, job)
+		if connection.Outdated() {
+			logevent.OutdatedRequest.Log(r.loop.log, zap.String("job", name.id))
+		}
 		if r.names.isCancelled(name) {
 			// The core dropped the cancel, since it came before the job.
 			w.answer <- cancelledBeforeSubmit()
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+
+	"github.com/poplarlever/poplarlever/internal/clock"
 )
 
 // Connection is one client connection. It is safe for concurrent use.
@@ -19,6 +21,10 @@
 	tracked *trackedConn
 	// bodyOpened is set once a handler has opened the body of the latest request.
 	bodyOpened atomic.Bool
+	// pauses is nil unless the server watches for pauses; openedAt is a number of pauses after
+	// which the connection was opened.
+	pauses   *clock.Pauses
+	openedAt uint64
 }
 
 // set returns the connections of the server, or nil.
@@ -69,8 +75,13 @@
 
 type connectionKey struct{}
 
-func withConnection(ctx context.Context, conn net.Conn) context.Context {
+// withConnection adds a connection that was just accepted to its context. Serve calls it on
+// the goroutine that accepts connections.
+func (s *Server) withConnection(ctx context.Context, conn net.Conn) context.Context {
 	c := &Connection{conn: conn, tracked: trackedOf(conn)}
+	if s.accepting != nil {
+		c.pauses, c.openedAt = s.accepting.pauses, s.accepting.openedAt.Load()
+	}
 	if c.tracked != nil {
 		c.guard = c.tracked.set.guard
 	}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -45,6 +45,8 @@
 	server      *http.Server
 	listener    net.Listener
 	connections *connectionSet
+	// accepting is nil unless WatchPauses was called.
+	accepting *pauseListener
 	// internal holds the patterns of HandleInternal.
 	internal        map[string]bool
 	ready           atomic.Bool
@@ -86,7 +88,7 @@
 	protocols.SetHTTP2(cfg != nil)
 	protocols.SetUnencryptedHTTP2(cfg == nil)
 	s.server = &http.Server{
-		Handler: n, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: cfg, ConnContext: withConnection,
+		Handler: n, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: cfg, ConnContext: s.withConnection,
 		MaxHeaderBytes: maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			MaxReadFrameSize: http2Frame, MaxReceiveBufferPerConnection: http2Window, MaxReceiveBufferPerStream: http2Window,
@@ -150,6 +152,9 @@
 func (s *Server) Serve() error {
 	var err error
 	listener := s.listener
+	if s.accepting != nil {
+		listener = s.accepting
+	}
 	if s.connections != nil {
 		listener = &trackingListener{listener, s.connections}
 	}
