Refuse jobs over connections older than a pause

An entry's machine is suspended; a client sends a job over an open connection, leaves, and sends the job to another entry. When the entry goes on, 4 to 6 of 6 tasks run at two workers for some 50 ms.

Cause: a job counted as abandoned only if the end of its connection was already there when it was read. What the client's network stack sends again arrives before the end of the connection, by an unknown time, and the entry took the time of reading for the time of sending.

Change: a job is refused (entry_paused, not run, with the time to come back) if its connection was opened before the end of the latest pause of the process. The check is made where the job enters the core, after which a pause is noticed by the core and by the agents' clocks. After a pause idle connections are closed and others end with their next response, so that a caller is refused once at most. A cancel of a name that may be used again is refused in the same way.

Why it holds: the order of the job, the end of its connection, the end of the pause and its detection does not matter, nor do the round trip and the number of entries, since no request over such a connection is taken, ever. A connection that waited in the accept queue counts as opened before. A pause below 0.5 s is not seen: then what was sent arrives 0.6 s later at the latest (after 0.2 and 0.4 s it is sent again), before the client sends the job elsewhere. Open: packets lost for longer than that without a pause (a path that is cut), and a handshake that a suspension interrupted.

--- a/internal/entryd/cancel.go
+++ b/internal/entryd/cancel.go
@@ -15,6 +15,7 @@
 	"github.com/poplarlever/poplarlever/internal/clock"
 	"github.com/poplarlever/poplarlever/internal/core/msg"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
+	"github.com/poplarlever/poplarlever/internal/httpserver"
 	"github.com/poplarlever/poplarlever/internal/logevent"
 	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
 	"github.com/poplarlever/poplarlever/proto/poplarlever/v1/poplarleverv1connect"
@@ -58,7 +59,11 @@
 func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // CancelJob implements the Peer service.
-func (p *Platform) CancelJob(_ context.Context, req *connect.Request[pb.CancelJobRequest]) (*connect.Response[pb.CancelJobResponse], error) {
+func (p *Platform) CancelJob(ctx context.Context, req *connect.Request[pb.CancelJobRequest]) (*connect.Response[pb.CancelJobResponse], error) {
+	if !req.Msg.GetUniqueName() && httpserver.ConnectionOf(ctx).Outdated() {
+		// The name may belong to a later job by now.
+		return nil, rpcError(connect.CodeUnavailable, outdatedRequest())
+	}
 	name := jobName{req.Msg.GetAccount(), req.Msg.GetJobId()}
 	return connect.NewResponse(&pb.CancelJobResponse{Found: p.cancelHere(name, req.Msg.GetUniqueName())}), nil
 }
--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,7 @@
 	d.loop.log = log
 	d.loop.metrics, d.counts.metrics = o.metrics, o.metrics
 	d.watchPauses(d.loop.pauses)
+	d.loop.afterPause = func() { go d.endOutdatedConnections() }
 	jobs := &runner{loop: d.loop, names: newJobNames(), jobTimeout: o.limits.JobTimeout}
 	d.jobs = jobs
 	d.keyed = newKeyedRequests(o, jobs, log)
@@ -82,15 +84,28 @@
 	return d
 }
 
+// servers returns the entry's own server and those of the adapters.
+func (d *Daemon) servers() []*httpserver.Server {
+	return slices.Concat([]*httpserver.Server{d.server}, d.adapterServers)
+}
+
 // watchPauses makes the loop and the servers use the given counter of pauses. Call it before
 // Run.
 func (d *Daemon) watchPauses(p *clock.Pauses) {
 	d.loop.pauses = p
-	for _, s := range append(d.adapterServers, d.server) {
+	for _, s := range d.servers() {
 		s.WatchPauses(p)
 	}
 }
 
+// endOutdatedConnections makes callers open new connections after a pause: a request that
+// arrives on an earlier one is refused.
+func (d *Daemon) endOutdatedConnections() {
+	for _, s := range d.servers() {
+		s.EndOutdated()
+	}
+}
+
 // CountMessages makes c count the messages that the entry sends on its links. Call it
 // before Run.
 func (d *Daemon) CountMessages(c *linkpb.Counter) { d.links.counter = c }
--- a/internal/entryd/dispatch.go
+++ b/internal/entryd/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/poplarlever/poplarlever/internal/core/entry"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
+	"github.com/poplarlever/poplarlever/internal/httpserver"
 	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
 )
 
@@ -59,7 +60,12 @@
 		s.counts.add(verdict.Unauthenticated)
 		return nil, rpcError(connect.CodeUnauthenticated, unauthenticated())
 	}
-	// Callers may use a job id again once its job has ended.
+	// Callers may use a job id again once its job has ended: an outdated cancel may mean an
+	// earlier job.
+	if httpserver.ConnectionOf(ctx).Outdated() {
+		s.counts.add(verdict.EntryPaused)
+		return nil, rpcError(connect.CodeUnavailable, outdatedRequest())
+	}
 	outcome, unreached := s.cancel(jobName{req.Msg.GetAccount(), req.Msg.GetJobId()}, false)
 	return connect.NewResponse(&pb.CancelResponse{Found: outcome.Found(), UnreachedEntries: uint32(unreached)}), nil
 }
--- a/internal/entryd/loop.go
+++ b/internal/entryd/loop.go
@@ -33,7 +33,9 @@
 	metrics *telemetry.Metrics
 	log     *zap.Logger
 	load    load
-	pauses  *clock.Pauses
+	// afterPause is called after a pause of the process.
+	afterPause func()
+	pauses     *clock.Pauses
 }
 
 // waiter receives the progress and the answer of one job.
@@ -48,13 +50,14 @@
 
 func newLoop(core *entry.Core) *loop {
 	return &loop{
-		core:    core,
-		inputs:  make(chan func(time.Time), inputQueueSize),
-		stopped: make(chan struct{}),
-		log:     zap.NewNop(),
-		pauses:  clock.NewPauses(clock.Read),
-		waiters: make(map[uint64]*waiter),
-		links:   make(map[entry.LinkID]*linkOutbox),
+		core:       core,
+		inputs:     make(chan func(time.Time), inputQueueSize),
+		stopped:    make(chan struct{}),
+		log:        zap.NewNop(),
+		pauses:     clock.NewPauses(clock.Read),
+		afterPause: func() {},
+		waiters:    make(map[uint64]*waiter),
+		links:      make(map[entry.LinkID]*linkOutbox),
 	}
 }
 
@@ -119,6 +122,7 @@
 	}
 	for _, p := range l.pauses.Take() {
 		l.paused(p)
+		l.afterPause()
 	}
 	now := clock.Now()
 	l.core.Tick(now)
--- a/internal/entryd/runner.go
+++ b/internal/entryd/runner.go
@@ -51,7 +51,8 @@
 }
 
 // submit passes the job to the core and waits for its answer. A job is not started for a
-// caller that has gone: while this process was paused, it may have sent the job elsewhere.
+// caller that has gone, nor if it may have been sent before the end of a pause of this
+// process: its caller may have sent it elsewhere meanwhile.
 func (r *runner) submit(ctx context.Context, name jobName, job entry.Job, report func(entry.Progress) error) entry.Answer {
 	job.ReceivedAt = clock.Now()
 	connection := httpserver.ConnectionOf(ctx)
@@ -67,20 +68,27 @@
 	r.loop.post(func(now time.Time) {
 		received.Store(true)
 		r.loop.load.submitted(now, job)
-		if connection.Outdated() {
-			logevent.OutdatedRequest.Log(r.loop.log, zap.String("job", name.id))
-		}
 		if r.names.isCancelled(name) {
 			// The core dropped the cancel, since it came before the job.
 			w.answer <- cancelledBeforeSubmit()
 			return
 		}
+		if connection.Outdated() {
+			logevent.OutdatedRequest.Log(r.loop.log, zap.String("job", name.id))
+			w.answer <- outdatedRequest()
+			return
+		}
 		r.loop.waiters[job.ID] = w
 		r.loop.core.Step(now, entry.Submit{Job: job})
 	})
 	return r.wait(ctx, job.ID, w, &received, report)
 }
 
+// outdatedRequest is the answer to a request whose connection is older than the latest pause.
+func outdatedRequest() entry.Answer {
+	return refuse(verdict.EntryPaused, "the entry was paused after the connection was opened; the request may be older than it looks")
+}
+
 func (r *runner) wait(ctx context.Context, id uint64, w *waiter, received *atomic.Bool, report func(entry.Progress) error) entry.Answer {
 	callerGone := ctx.Done()
 	for {
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -61,16 +61,38 @@
 	if !ok {
 		return false
 	}
-	raw, err := s.SyscallConn()
+	state, err := peek(s)
+	return err != nil || state == closedByPeer
+}
+
+// unreadState says what a connection holds that has not been read.
+type unreadState uint8
+
+const (
+	nothingUnread unreadState = iota
+	dataUnread
+	// closedByPeer means that the end of the connection, or a reset, comes next.
+	closedByPeer
+)
+
+// peek returns what comes next on a connection. It does not block and consumes nothing. The
+// error says that the connection was closed on this side.
+func peek(conn syscall.Conn) (unreadState, error) {
+	raw, err := conn.SyscallConn()
 	if err != nil {
-		return true
+		return nothingUnread, err
 	}
-	closed := false
+	state := nothingUnread
 	err = raw.Control(func(fd uintptr) {
 		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+		switch {
+		case n > 0:
+			state = dataUnread
+		case n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE):
+			state = closedByPeer
+		}
 	})
-	return closed || err != nil
+	return state, err
 }
 
 type connectionKey struct{}
@@ -80,7 +102,7 @@
 func (s *Server) withConnection(ctx context.Context, conn net.Conn) context.Context {
 	c := &Connection{conn: conn, tracked: trackedOf(conn)}
 	if s.accepting != nil {
-		c.pauses, c.openedAt = s.accepting.pauses, s.accepting.openedAt.Load()
+		c.pauses, c.openedAt = s.accepting.pauses, s.openedAt()
 	}
 	if c.tracked != nil {
 		c.guard = c.tracked.set.guard
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -78,6 +78,8 @@
 	http2  atomic.Bool
 	// internal is set for a connection of one of the system's own processes.
 	internal atomic.Bool
+	// openedAt is as in Connection.
+	openedAt uint64
 	// closed is guarded by connectionSet.mu.
 	closed bool
 	// streams is the number of streams of BoundStreams.
@@ -103,6 +105,8 @@
 type trackingListener struct {
 	net.Listener
 	set *connectionSet
+	// openedAt returns a number of pauses after which the connection accepted last was opened.
+	openedAt func() uint64
 }
 
 // acceptPause is how long accepting pauses after a failure, such as a want of descriptors.
@@ -123,7 +127,7 @@
 		if !ok {
 			return conn, nil
 		}
-		if t := l.set.add(tcp); t != nil {
+		if t := l.set.add(tcp, l.openedAt()); t != nil {
 			return t, nil
 		}
 		// A reset leaves nothing behind; an orderly close would wait for the peer.
@@ -135,12 +139,12 @@
 // add adds a new connection, for which it closes another one if there are as many as there may
 // be: first one whose request makes no progress, then the one that has been idle for the
 // longest time. It returns nil if there is no room.
-func (s *connectionSet) add(tcp *net.TCPConn) *trackedConn {
+func (s *connectionSet) add(tcp *net.TCPConn, openedAt uint64) *trackedConn {
 	if s.guard.resources.Memory > 0 {
 		_ = tcp.SetReadBuffer(receiveBuffer)
 	}
 	now := time.Now()
-	t := &trackedConn{TCPConn: tcp, set: s}
+	t := &trackedConn{TCPConn: tcp, set: s, openedAt: openedAt}
 	t.idleSince.Store(now.UnixNano())
 	if s.full(0) {
 		s.closeOne(now)
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -145,7 +145,7 @@
 	if s.connectionClose.Load() && r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
-	next(w, r)
+	serveEndingOutdated(w, r, next)
 }
 
 // Serve handles requests until Shutdown, after which it returns nil.
@@ -156,7 +156,7 @@
 		listener = s.accepting
 	}
 	if s.connections != nil {
-		listener = &trackingListener{listener, s.connections}
+		listener = &trackingListener{listener, s.connections, s.openedAt}
 	}
 	if s.server.TLSConfig != nil {
 		err = s.server.ServeTLS(listener, "", "")
--- a/internal/httpserver/outdated.go
+++ b/internal/httpserver/outdated.go
@@ -1,9 +1,14 @@
 package httpserver
 
 import (
+	"errors"
 	"net"
+	"net/http"
+	"os"
 	"sync/atomic"
+	"time"
 
+	"github.com/urfave/negroni/v3"
 	"golang.org/x/sys/unix"
 
 	"github.com/poplarlever/poplarlever/internal/clock"
@@ -17,12 +22,72 @@
 	}
 }
 
+// openedAt returns a number of pauses after which the connection accepted last was opened.
+func (s *Server) openedAt() uint64 {
+	if s.accepting == nil {
+		return 0
+	}
+	return s.accepting.openedAt.Load()
+}
+
 // Outdated reports whether the process has been paused since the connection was opened. What
 // arrives on it may have been sent before the end of the pause, by a client that has given up
 // since and sent the request elsewhere: the end of the connection arrives after what was sent
 // before, at an unknown distance.
 func (c *Connection) Outdated() bool { return c.pauses != nil && c.pauses.Count() > c.openedAt }
 
+// EndOutdated closes the idle connections of callers that are older than the latest pause of
+// the process, so that their next requests come over new ones. Other outdated connections end
+// with their next response.
+func (s *Server) EndOutdated() {
+	if s.accepting == nil {
+		return
+	}
+	s.accepting.afterPause()
+	if s.connections != nil {
+		s.connections.closeOutdated(s.accepting.pauses.Count())
+	}
+}
+
+// closeOutdated closes the connections of callers that were opened before the given number of
+// pauses, serve no request and hold none that is unread.
+func (s *connectionSet) closeOutdated(pauses uint64) {
+	var idle []*trackedConn
+	s.mu.Lock()
+	for t := range s.open {
+		if t.openedAt < pauses && t.requests.Load() == 0 && !t.internal.Load() {
+			idle = append(idle, t)
+		}
+	}
+	s.mu.Unlock()
+	for _, t := range idle {
+		if state, err := peek(t.TCPConn); err == nil && state == nothingUnread {
+			_ = t.Close()
+		}
+	}
+}
+
+// serveEndingOutdated serves a request, and makes its response end a connection that is
+// outdated by then.
+func serveEndingOutdated(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	c := ConnectionOf(r.Context())
+	rw, ok := w.(negroni.ResponseWriter)
+	if c.pauses == nil || !ok {
+		next(w, r)
+		return
+	}
+	end := func(w negroni.ResponseWriter) {
+		if c.Outdated() {
+			w.Header().Set("Connection", "close")
+		}
+	}
+	rw.Before(end)
+	next(rw, r)
+	if !rw.Written() {
+		end(rw)
+	}
+}
+
 // pauseListener relates the connections that it accepts to the pauses of the process.
 type pauseListener struct {
 	*net.TCPListener
@@ -35,12 +100,24 @@
 
 // Accept implements net.Listener.
 func (l *pauseListener) Accept() (net.Conn, error) {
-	if n := l.pauses.Count(); n != l.openedAt.Load() && !l.connectionWaits() {
-		l.openedAt.Store(n)
+	for {
+		if n := l.pauses.Count(); n != l.openedAt.Load() && !l.connectionWaits() {
+			l.openedAt.Store(n)
+		}
+		conn, err := l.TCPListener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+		// The call was interrupted by afterPause.
+		if err := l.SetDeadline(time.Time{}); err != nil {
+			return nil, err
+		}
 	}
-	return l.TCPListener.Accept()
 }
 
+// afterPause makes a call of Accept that waits for a connection look for a pause first.
+func (l *pauseListener) afterPause() { _ = l.SetDeadline(time.Unix(1, 0)) }
+
 // connectionWaits reports whether a connection may wait to be accepted.
 func (l *pauseListener) connectionWaits() bool {
 	raw, err := l.SyscallConn()
--- a/internal/httpserver/outdated_test.go
+++ b/internal/httpserver/outdated_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -105,3 +106,61 @@
 		})
 	}
 }
+
+// Guards against a caller that is refused after each pause for a connection that it did not use
+// meanwhile, and against a request that gets no answer because its connection is closed.
+func TestOutdatedConnectionsEnd(t *testing.T) {
+	c := qt.New(t)
+	p := newPausableServer(c, WithGuard(NewGuard(Resources{}), Callers))
+	entered, resume := make(chan struct{}), make(chan struct{})
+	p.Handle("GET /held", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(entered)
+		<-resume
+	}))
+	p.serve(c)
+	idle, busy := p.dial(c), p.dial(c)
+	_, closes := ask(c, idle)
+	c.Check(closes, qt.IsFalse)
+	_, err := busy.Write([]byte("GET /held HTTP/1.1\r\nHost: a\r\n\r\n"))
+	c.Assert(err, qt.IsNil)
+	<-entered
+
+	p.clock.pause()
+	p.EndOutdated()
+	_, err = idle.Read(make([]byte, 1))
+	c.Check(err, qt.Equals, io.EOF)
+	close(resume)
+	resp, err := http.ReadResponse(bufio.NewReader(busy), nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.Close, qt.IsTrue, qt.Commentf("a response after the pause"))
+	p.waitForEmptyQueue()
+	outdated, closes := ask(c, p.dial(c))
+	c.Check(outdated, qt.IsFalse, qt.Commentf("opened after the pause"))
+	c.Check(closes, qt.IsFalse)
+}
+
+// Guards against the connections of other processes of the system that stay outdated for good.
+func TestOutdatedHTTP2ConnectionIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	p := newPausableServer(c)
+	p.serve(c)
+	client := NewClient()
+	defer client.CloseIdleConnections()
+	outdated := func() string {
+		resp, err := client.Get("http://" + p.Address())
+		c.Assert(err, qt.IsNil)
+		defer resp.Body.Close()
+		c.Check(resp.ProtoMajor, qt.Equals, 2)
+		answer, err := io.ReadAll(resp.Body)
+		c.Assert(err, qt.IsNil)
+		return string(answer)
+	}
+	c.Check(outdated(), qt.Equals, "false")
+	p.clock.pause()
+	p.EndOutdated()
+	p.waitForEmptyQueue()
+	c.Check(outdated(), qt.Equals, "true")
+	for outdated() == "true" {
+		time.Sleep(time.Millisecond)
+	}
+}
