Close idle connections of other processes at shutdown

Cause: net/http sends GOAWAY on an idle HTTP/2 connection and closes it a second later, after a stop limit of 5.5 s.

Change: connections of the system's own processes that serve no request are closed at once; callers' connections end as before.

--- a/internal/httpserver/connection_test.go
+++ b/internal/httpserver/connection_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -50,3 +51,27 @@
 		})
 	}
 }
+
+// Guards against a shutdown that takes a second longer, and so outlasts the time that a process
+// has to stop, because another process of the system keeps an idle connection.
+func TestIdleInternalConnectionsAreClosed(t *testing.T) {
+	c := qt.New(t)
+	s, err := Listen("127.0.0.1:0", WithGuard(NewGuard(Resources{}), Control))
+	c.Assert(err, qt.IsNil)
+	s.HandleInternal("GET /internal", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	go func() { _ = s.Serve() }()
+	defer s.Shutdown(t.Context())
+	other, err := net.Dial("tcp", s.Address())
+	c.Assert(err, qt.IsNil)
+	defer other.Close()
+	resp, err := NewClient().Get("http://" + s.Address() + "/internal")
+	c.Assert(err, qt.IsNil)
+	c.Assert(resp.Body.Close(), qt.IsNil)
+	for s.Guard().Connections() != 1 {
+		// The request counts until its handler has returned.
+		s.connections.closeIdleInternal()
+		time.Sleep(time.Millisecond)
+	}
+	internal := s.connections.idle(func(t *trackedConn) bool { return t.internal.Load() })
+	c.Check(internal, qt.HasLen, 0)
+}
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -199,6 +199,28 @@
 	return true
 }
 
+// closeIdleInternal closes the connections of the system's own processes that serve no request.
+// An orderly end of an idle HTTP/2 connection takes a second; these processes just open
+// another one.
+func (s *connectionSet) closeIdleInternal() {
+	for _, t := range s.idle(func(t *trackedConn) bool { return t.internal.Load() }) {
+		_ = t.Close()
+	}
+}
+
+// idle returns the connections that serve no request and fulfil a condition.
+func (s *connectionSet) idle(condition func(*trackedConn) bool) []*trackedConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var idle []*trackedConn
+	for t := range s.open {
+		if t.requests.Load() == 0 && condition(t) {
+			idle = append(idle, t)
+		}
+	}
+	return idle
+}
+
 func (s *connectionSet) remove(t *trackedConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -172,6 +172,9 @@
 // Shutdown stops accepting connections and waits for the requests in progress. When
 // ctx ends first it closes all connections.
 func (s *Server) Shutdown(ctx context.Context) error {
+	if s.connections != nil {
+		s.connections.closeIdleInternal()
+	}
 	if err := s.server.Shutdown(ctx); err != nil {
 		return s.server.Close()
 	}
--- a/internal/httpserver/outdated.go
+++ b/internal/httpserver/outdated.go
@@ -52,15 +52,8 @@
 // closeOutdated closes the connections of callers that were opened before the given number of
 // pauses, serve no request and hold none that is unread.
 func (s *connectionSet) closeOutdated(pauses uint64) {
-	var idle []*trackedConn
-	s.mu.Lock()
-	for t := range s.open {
-		if t.openedAt < pauses && t.requests.Load() == 0 && !t.internal.Load() {
-			idle = append(idle, t)
-		}
-	}
-	s.mu.Unlock()
-	for _, t := range idle {
+	outdated := func(t *trackedConn) bool { return t.openedAt < pauses && !t.internal.Load() }
+	for _, t := range s.idle(outdated) {
 		if state, err := peek(t.TCPConn); err == nil && state == nothingUnread {
 			_ = t.Close()
 		}
