Follow the store until the last answer of a stop

The entries are stopped in turn, 2 s apart; 2.1 to 3.9 s after the operators have dropped a queue and added another one, stopping entries run jobs of the dropped queue and answer 404 for the new one.

Cause: the watch, the poll, the exchange and the pushes ended with the signal to stop, like the registration, although the entry serves for up to 5.5 s more. While all entries stop, none follows the store or passes a change on.

Change: only the registration ends with the signal. The rest ends with the loop, after the last job. Evacuations and the list of entries, to which cancels are passed on, come the same way.

Why it holds: a process that takes requests follows the store whatever it was told, so the number of entries and the order of stops, starts and changes do not matter. Open: a stopping entry that reaches neither the store nor another entry.

--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -142,7 +142,7 @@
 	d.serveAdapters(serveErr)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	waitPlatform := d.runPlatform(ctx)
+	waitPlatform := d.runPlatform(loopCtx, ctx)
 	logevent.ProcessStarted.Log(d.log, zap.String("role", "entry"), zap.String("entry", d.name), zap.String("address", d.server.Address()))
 	select {
 	case err := <-serveErr:
--- a/internal/entryd/join.go
+++ b/internal/entryd/join.go
@@ -37,10 +37,9 @@
 	}
 }
 
-// runPlatform starts the platform and returns a function that waits for its end. The
-// platform ends with ctx, so that a stopping entry is unregistered and does not become
-// ready again.
-func (d *Daemon) runPlatform(ctx context.Context) (wait func()) {
+// runPlatform starts the platform and returns a function that waits for its end. The entry
+// follows the platform until ctx ends, and is registered there until registered ends.
+func (d *Daemon) runPlatform(ctx, registered context.Context) (wait func()) {
 	if d.platform == nil {
 		d.setReady(true)
 		return func() {}
@@ -48,7 +47,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		d.platform.run(ctx)
+		d.platform.run(ctx, registered)
 		// An idle connection would delay the shutdown of the entry at its other end.
 		d.platform.client.CloseIdleConnections()
 		d.keyed.client.CloseIdleConnections()
--- a/internal/entryd/join_test.go
+++ b/internal/entryd/join_test.go
@@ -18,25 +18,31 @@
 // startJoined starts a daemon on loopback that has joined a new platform, and returns
 // both.
 func startJoined(t *testing.T, name string, s store.Store, seeds ...string) (*Daemon, *Platform) {
+	d, p, _ := startStoppable(t, time.Second, name, s, seeds...)
+	return d, p
+}
+
+// startStoppable is like startJoined. stop tells the daemon to stop within stopLimit.
+func startStoppable(t *testing.T, stopLimit time.Duration, name string, s store.Store, seeds ...string) (d *Daemon, p *Platform, stop func()) {
 	server, err := httpserver.Listen("127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	d := New(entry.New(entry.Config{
+	d = New(entry.New(entry.Config{
 		Name: name, Incarnation: 1, HeartbeatInterval: time.Second, LostAfter: time.Minute, SuspectAfter: time.Minute,
 		MaxQueued: 10, MaxTasks: 10, MaxPayload: 10,
 	}), name, server, zap.NewNop())
-	p := NewPlatform(PlatformConfig{
+	p = NewPlatform(PlatformConfig{
 		Store: s, Seeds: seeds, Log: zap.NewNop(),
 		Self: membership.Member{Name: name, Address: d.Address(), Incarnation: 1, Started: time.Now()},
 	})
 	d.Join(p)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- d.Run(ctx, time.Second) }()
+	go func() { done <- d.Run(ctx, stopLimit) }()
 	t.Cleanup(func() {
 		stop()
 		qt.Check(t, <-done, qt.IsNil)
 	})
-	return d, p
+	return d, p, stop
 }
 
 // readyStatus returns the status of the readiness page.
--- a/internal/entryd/platform.go
+++ b/internal/entryd/platform.go
@@ -165,17 +165,22 @@
 	storeStateDown = 2
 )
 
-// run keeps the policy and the list of entries up to date until ctx ends.
-func (p *Platform) run(ctx context.Context) {
+// run keeps the policy and the list of entries up to date until ctx ends, and the entry
+// registered until registered ends. An entry that stops leaves the list at once, and follows
+// all changes for as long as it serves.
+func (p *Platform) run(ctx, registered context.Context) {
 	p.bootstrap(ctx)
 	loops := []func(context.Context){p.exchangeLoop, p.pushLoop}
 	if p.cfg.Store != nil {
-		loops = append(loops, p.watchLoop, p.pollLoop, p.registerLoop)
+		loops = append(loops, p.watchLoop, p.pollLoop)
 	}
 	var group sync.WaitGroup
 	for _, loop := range loops {
 		group.Go(func() { loop(ctx) })
 	}
+	if p.cfg.Store != nil {
+		group.Go(func() { p.registerLoop(registered) })
+	}
 	group.Wait()
 }
 
--- a/internal/entryd/platform_test.go
+++ b/internal/entryd/platform_test.go
@@ -69,7 +69,8 @@
 	// first policy was applied.
 	told, toldBefore    evacuation.Report
 	rejectedEvacuations int
-	stop                context.CancelFunc
+	// leave makes the entry leave the list, as a stop does; stop ends it.
+	leave, stop context.CancelFunc
 }
 
 func (e *testEntry) revisions() (applied, rejected []uint64) {
@@ -89,7 +90,8 @@
 
 func (c *cluster) startWith(s store.Store, name string, incarnation uint64, seeds ...string) *testEntry {
 	ctx, stop := context.WithCancel(c.t.Context())
-	e := &testEntry{stop: stop}
+	registered, leave := context.WithCancel(ctx)
+	e := &testEntry{leave: leave, stop: stop}
 	address := fmt.Sprintf("%s.%d:7000", name, incarnation)
 	e.Platform = NewPlatform(PlatformConfig{
 		Store: s, Seeds: seeds, Log: zap.NewNop(), Evacuations: c.evacuations,
@@ -127,7 +129,7 @@
 	}
 	c.set(address, e)
 	done := make(chan struct{})
-	go func() { defer close(done); e.run(ctx) }()
+	go func() { defer close(done); e.run(ctx, registered) }()
 	c.t.Cleanup(func() { stop(); <-done })
 	return e
 }
