Pass cancels on to entries that have left the list

What callers may see: a cancel is answered "no such job" while the job runs on at an entry that is stopping. It leaves the store's list with the signal to stop and serves for seconds more; an entry that was never in contact with it forgot it at once.

Change: an entry that has left the list remains a candidate for exchanges and cancels for as long as one that was only mentioned (30 s). It does not count as known, so that no cancel stays uncertain because of it.

Evidence: without the change TestCancelReachesEntryThatLeftTheList fails (not_found instead of cancelled_elsewhere).

--- a/internal/entryd/cancel_elsewhere_test.go
+++ b/internal/entryd/cancel_elsewhere_test.go
@@ -234,3 +234,21 @@
 	c.Check(found, qt.IsTrue)
 	c.Check((<-answers).Reason, qt.Equals, verdict.Cancelled)
 }
+
+// Guards against a job that runs on after "no such job": its entry is stopping, so that it has
+// left the store's list, and was never in contact with the entry that gets the cancel.
+func TestCancelReachesEntryThatLeftTheList(t *testing.T) {
+	c := qt.New(t)
+	p, calls := newCancelPlatform(nil)
+	p.cancelAt = func(_ context.Context, address string, _ *pb.CancelJobRequest) (bool, error) {
+		calls.Add(1)
+		return address == "10.0.0.2:1", nil
+	}
+	now := time.Now()
+	p.members.SetListed(now, []membership.Member{{Name: "stopping", Address: "10.0.0.2:1", Incarnation: 1, Started: now}})
+	p.members.SetListed(now.Add(time.Second), nil)
+	outcome, _ := (&Daemon{jobs: newTestRunner(), platform: p}).cancelJob(jobName{"acc", "mine"}, true)
+	c.Check(outcome, qt.Equals, verdict.CancelledElsewhere)
+	p.members.SetListed(now.Add(time.Second+membership.ContactTTL), nil)
+	c.Check(p.peerAddresses(), qt.HasLen, 0)
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -85,10 +85,14 @@
 	return m.Name == l.self.Name && m.Incarnation == l.self.Incarnation
 }
 
-// SetListed replaces the list of entries that are registered in the store.
+// SetListed replaces the list of entries that are registered in the store. One that has left
+// the list remains a candidate: it may be stopping, and serves until its last job has ended.
 func (l *List) SetListed(now time.Time, members []Member) {
 	l.listedAt = now
 	for _, r := range l.records {
+		if r.listed {
+			r.lastMentioned = now
+		}
 		r.listed = false
 	}
 	for _, m := range members {
