Push a revision at the start to entries that reported an older one

One that starts reads the new revision and hears in its first exchanges that others have an older one, but passed it on to one of them at random, and to the next one two seconds later.

Change: it pushes the revision, or a change of an evacuation, if an entry that has a revision reported an older state.

--- a/internal/entryd/platform.go
+++ b/internal/entryd/platform.go
@@ -218,13 +218,29 @@
 	if p.Revision() == 0 {
 		logevent.RevisionUnknown.Log(p.cfg.Log)
 	}
-	// Do not push this revision. The other entries most likely have it, or learn it
-	// from their exchanges, and pushes from many entries that start at once would delay
-	// callers.
+	// Push this revision only if an entry has reported an older one. The others most likely
+	// have it, and pushes from many entries that start at once would delay callers.
 	select {
 	case <-p.revisionChanged:
 	default:
 	}
+	if p.reportedOlder() {
+		p.requestPush()
+	}
+}
+
+// reportedOlder reports whether an entry that is past its own start has reported an older
+// state than this one's.
+func (p *Platform) reportedOlder() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	revision, evacuations := p.inForce.Content().Revision, p.evacuations.Version()
+	for address, reported := range p.revisions {
+		if reported > 0 && (reported < revision || p.evacuationVersions[address] < evacuations) {
+			return true
+		}
+	}
+	return false
 }
 
 // loadAtStart reads the store once and reports whether it has a revision.
--- a/internal/entryd/platform_test.go
+++ b/internal/entryd/platform_test.go
@@ -89,9 +89,14 @@
 }
 
 func (c *cluster) startWith(s store.Store, name string, incarnation uint64, seeds ...string) *testEntry {
-	ctx, stop := context.WithCancel(c.t.Context())
-	registered, leave := context.WithCancel(ctx)
-	e := &testEntry{leave: leave, stop: stop}
+	e := c.prepare(s, name, incarnation, seeds...)
+	c.run(e)
+	return e
+}
+
+// prepare returns an entry that does not run yet.
+func (c *cluster) prepare(s store.Store, name string, incarnation uint64, seeds ...string) *testEntry {
+	e := &testEntry{}
 	address := fmt.Sprintf("%s.%d:7000", name, incarnation)
 	e.Platform = NewPlatform(PlatformConfig{
 		Store: s, Seeds: seeds, Log: zap.NewNop(), Evacuations: c.evacuations,
@@ -127,11 +132,18 @@
 		}
 		return peer.answerExchange(req), nil
 	}
-	c.set(address, e)
+	return e
+}
+
+// run runs an entry until the test ends.
+func (c *cluster) run(e *testEntry) {
+	ctx, stop := context.WithCancel(c.t.Context())
+	registered, leave := context.WithCancel(ctx)
+	e.leave, e.stop = leave, stop
+	c.set(e.cfg.Self.Address, e)
 	done := make(chan struct{})
 	go func() { defer close(done); e.run(ctx, registered) }()
 	c.t.Cleanup(func() { stop(); <-done })
-	return e
 }
 
 func (c *cluster) startAll(n int) []*testEntry {
--- a/internal/entryd/stopping_test.go
+++ b/internal/entryd/stopping_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/poplarlever/poplarlever/internal/core/evacuation"
 	"github.com/poplarlever/poplarlever/internal/core/verdict"
 	"github.com/poplarlever/poplarlever/internal/tablestore"
+	pb "github.com/poplarlever/poplarlever/proto/poplarlever/v1"
 )
 
 // Guards against entries that are told to stop and serve on by a configuration that the
@@ -107,3 +109,30 @@
 	leave()
 	c.Check(<-answered, qt.Equals, verdict.Cancelled)
 }
+
+// Guards against a revision that entries without a connection to the store learn only from
+// later exchanges, although an entry that starts has it and was told that they have not.
+func TestStartingEntryPassesItsRevisionOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		older := c.put(1)
+		want := c.put(2)
+		addresses := []string{"a:1", "b:1", "c:1"}
+		e := c.prepare(c.store, "started", 1, addresses...)
+		var mu sync.Mutex
+		told := make(map[string]uint64)
+		e.exchange = func(_ context.Context, to string, req *pb.ExchangeRequest) (*pb.ExchangeResponse, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			told[to] = max(told[to], older, req.GetTable().GetRevision())
+			return &pb.ExchangeResponse{Revision: told[to]}, nil
+		}
+		c.run(e)
+		time.Sleep(peerTimeout + pushDelay)
+		mu.Lock()
+		defer mu.Unlock()
+		for _, address := range addresses {
+			qt.Check(t, told[address], qt.Equals, want, qt.Commentf("%s", address))
+		}
+	})
+}
