Reload settings also during a planned stop

What operators may see: SIGHUP during a stop is ignored. An entry whose seeds have changed goes on asking the old ones, and an agent does not link to new entries, while they still serve.

Change: settings are reloaded until the process ends.

Evidence: TestProcessSurvivesReloadSignal now also waits for settings_reloaded after the second SIGHUP; with the code before it waits until the time limit of the test run (60 s).

--- a/internal/command/agent.go
+++ b/internal/command/agent.go
@@ -37,15 +37,18 @@
 			if err != nil {
 				return err
 			}
-			ctx, stop := stopSignals(ctx, a.Hurry)
-			defer stop()
-			onSIGHUP(ctx, func() {
+			// The settings count until the end of the stop.
+			running, end := context.WithCancel(ctx)
+			defer end()
+			onSIGHUP(running, func() {
 				fresh, err := loadAgent(cmd)
 				if err == nil {
 					a.SetEntries(fresh.Entries)
 				}
 				logReload(log, err)
 			})
+			ctx, stop := stopSignals(ctx, a.Hurry)
+			defer stop()
 			err = a.Run(ctx, s.StopLimit.Duration)
 			if errorx.IsOfType(err, agentd.ErrDuplicateWorker) {
 				return s.Source.Fault("worker", err)
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -39,15 +39,18 @@
 			if err != nil {
 				return err
 			}
-			ctx, stop := stopSignals(ctx, d.Hurry)
-			defer stop()
-			onSIGHUP(ctx, func() {
+			// The settings count until the end of the stop.
+			running, end := context.WithCancel(ctx)
+			defer end()
+			onSIGHUP(running, func() {
 				fresh, err := loadEntry(cmd)
 				if err == nil {
 					d.SetSeeds(fresh.Peers)
 				}
 				logReload(log, err)
 			})
+			ctx, stop := stopSignals(ctx, d.Hurry)
+			defer stop()
 			err = d.Run(ctx, s.StopLimit.Duration)
 			if errorx.IsOfType(err, entryd.ErrDuplicateEntry) {
 				return s.Source.Fault("name", err)
--- a/internal/processtest/reload_test.go
+++ b/internal/processtest/reload_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against a process that ends on SIGHUP: it reloads its settings while it
-// serves, and a planned stop goes on to its end.
+// serves, also while it stops, and a planned stop goes on to its end.
 func TestProcessSurvivesReloadSignal(t *testing.T) {
 	c := qt.New(t)
 	f := startFleet(c, 1, 1)
@@ -31,6 +31,7 @@
 		p.signal(c, syscall.SIGTERM)
 		p.waitEvent(c, "process_stopping")
 		p.signal(c, syscall.SIGHUP)
+		p.waitEvent(c, "settings_reloaded")
 	}
 	c.Check((<-answers).GetOutcome(), qt.Equals, pb.Outcome_OUTCOME_COMPLETE)
 	c.Check(f.agents[0].exitCode(c), qt.Equals, 0)
