--- a/internal/entryd/daemon.go
+++ b/internal/entryd/daemon.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// endOutdatedConnections makes callers open new connections after a pause: a request that
-// arrives on an earlier one is refused.
+// endOutdatedConnections makes callers open new connections after a pause: jobs that arrive on
+// earlier ones are refused.
 func (d *Daemon) endOutdatedConnections() {
 	for _, s := range d.servers() {
 		s.EndOutdated()
--- a/internal/entryd/join.go
+++ b/internal/entryd/join.go
@@ -38,7 +38,8 @@
 }
 
 // runPlatform starts the platform and returns a function that waits for its end. The entry
-// follows the platform until ctx ends, and is registered there until registered ends.
+// follows the platform until ctx ends, and is registered there until registered ends. Call it
+// with the end of the last job as ctx: until then a stopping entry serves by what it learns.
 func (d *Daemon) runPlatform(ctx, registered context.Context) (wait func()) {
 	if d.platform == nil {
 		d.setReady(true)
--- a/internal/httpserver/connection.go
+++ b/internal/httpserver/connection.go
@@ -21,10 +21,10 @@
 	tracked *trackedConn
 	// bodyOpened is set once a handler has opened the body of the latest request.
 	bodyOpened atomic.Bool
-	// pauses is nil unless the server watches for pauses; openedAt is a number of pauses after
-	// which the connection was opened.
-	pauses   *clock.Pauses
-	openedAt uint64
+	// pauses is nil unless the server watches for pauses. At least pausesBefore of them had
+	// ended when the connection was opened.
+	pauses       *clock.Pauses
+	pausesBefore uint64
 }
 
 // set returns the connections of the server, or nil.
@@ -102,7 +102,7 @@
 func (s *Server) withConnection(ctx context.Context, conn net.Conn) context.Context {
 	c := &Connection{conn: conn, tracked: trackedOf(conn)}
 	if s.accepting != nil {
-		c.pauses, c.openedAt = s.accepting.pauses, s.openedAt()
+		c.pauses, c.pausesBefore = s.accepting.pauses, s.pausesBefore()
 	}
 	if c.tracked != nil {
 		c.guard = c.tracked.set.guard
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -78,8 +78,8 @@
 	http2  atomic.Bool
 	// internal is set for a connection of one of the system's own processes.
 	internal atomic.Bool
-	// openedAt is as in Connection.
-	openedAt uint64
+	// pausesBefore is that of the Connection.
+	pausesBefore uint64
 	// closed is guarded by connectionSet.mu.
 	closed bool
 	// streams is the number of streams of BoundStreams.
@@ -105,8 +105,8 @@
 type trackingListener struct {
 	net.Listener
 	set *connectionSet
-	// openedAt returns a number of pauses after which the connection accepted last was opened.
-	openedAt func() uint64
+	// pausesBefore is that of the connection accepted last.
+	pausesBefore func() uint64
 }
 
 // acceptPause is how long accepting pauses after a failure, such as a want of descriptors.
@@ -127,7 +127,7 @@
 		if !ok {
 			return conn, nil
 		}
-		if t := l.set.add(tcp, l.openedAt()); t != nil {
+		if t := l.set.add(tcp, l.pausesBefore()); t != nil {
 			return t, nil
 		}
 		// A reset leaves nothing behind; an orderly close would wait for the peer.
@@ -139,12 +139,12 @@
 // add adds a new connection, for which it closes another one if there are as many as there may
 // be: first one whose request makes no progress, then the one that has been idle for the
 // longest time. It returns nil if there is no room.
-func (s *connectionSet) add(tcp *net.TCPConn, openedAt uint64) *trackedConn {
+func (s *connectionSet) add(tcp *net.TCPConn, pausesBefore uint64) *trackedConn {
 	if s.guard.resources.Memory > 0 {
 		_ = tcp.SetReadBuffer(receiveBuffer)
 	}
 	now := time.Now()
-	t := &trackedConn{TCPConn: tcp, set: s, openedAt: openedAt}
+	t := &trackedConn{TCPConn: tcp, set: s, pausesBefore: pausesBefore}
 	t.idleSince.Store(now.UnixNano())
 	if s.full(0) {
 		s.closeOne(now)
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -156,7 +156,7 @@
 		listener = s.accepting
 	}
 	if s.connections != nil {
-		listener = &trackingListener{listener, s.connections, s.openedAt}
+		listener = &trackingListener{listener, s.connections, s.pausesBefore}
 	}
 	if s.server.TLSConfig != nil {
 		err = s.server.ServeTLS(listener, "", "")
--- a/internal/httpserver/outdated.go
+++ b/internal/httpserver/outdated.go
@@ -22,19 +22,20 @@
 	}
 }
 
-// openedAt returns a number of pauses after which the connection accepted last was opened.
-func (s *Server) openedAt() uint64 {
+// pausesBefore returns how many pauses at least had ended when the connection accepted last was
+// opened.
+func (s *Server) pausesBefore() uint64 {
 	if s.accepting == nil {
 		return 0
 	}
-	return s.accepting.openedAt.Load()
+	return s.accepting.pausesBefore.Load()
 }
 
 // Outdated reports whether the process has been paused since the connection was opened. What
 // arrives on it may have been sent before the end of the pause, by a client that has given up
 // since and sent the request elsewhere: the end of the connection arrives after what was sent
 // before, at an unknown distance.
-func (c *Connection) Outdated() bool { return c.pauses != nil && c.pauses.Count() > c.openedAt }
+func (c *Connection) Outdated() bool { return c.pauses != nil && c.pauses.Count() > c.pausesBefore }
 
 // EndOutdated closes the idle connections of callers that are older than the latest pause of
 // the process, so that their next requests come over new ones. Other outdated connections end
@@ -52,7 +53,7 @@
 // closeOutdated closes the connections of callers that were opened before the given number of
 // pauses, serve no request and hold none that is unread.
 func (s *connectionSet) closeOutdated(pauses uint64) {
-	outdated := func(t *trackedConn) bool { return t.openedAt < pauses && !t.internal.Load() }
+	outdated := func(t *trackedConn) bool { return t.pausesBefore < pauses && !t.internal.Load() }
 	for _, t := range s.idle(outdated) {
 		if state, err := peek(t.TCPConn); err == nil && state == nothingUnread {
 			_ = t.Close()
@@ -85,17 +86,17 @@
 type pauseListener struct {
 	*net.TCPListener
 	pauses *clock.Pauses
-	// openedAt is a number of pauses after which the connections accepted from now on were
-	// opened. A connection may have waited to be accepted since before a pause, so the number
+	// pausesBefore is how many pauses at least have ended before the opening of the connections
+	// that are accepted from now on. A connection may have waited through a pause, so the number
 	// rises only when none waits.
-	openedAt atomic.Uint64
+	pausesBefore atomic.Uint64
 }
 
 // Accept implements net.Listener.
 func (l *pauseListener) Accept() (net.Conn, error) {
 	for {
-		if n := l.pauses.Count(); n != l.openedAt.Load() && !l.connectionWaits() {
-			l.openedAt.Store(n)
+		if n := l.pauses.Count(); n != l.pausesBefore.Load() && !l.connectionWaits() {
+			l.pausesBefore.Store(n)
 		}
 		conn, err := l.TCPListener.Accept()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/httpserver/outdated_test.go
+++ b/internal/httpserver/outdated_test.go
@@ -60,7 +60,7 @@
 // waitForEmptyQueue waits until the server has found no more connection to accept that may be
 // older than the latest pause.
 func (p *pausableServer) waitForEmptyQueue() {
-	for p.accepting.openedAt.Load() != p.pauses.Count() {
+	for p.accepting.pausesBefore.Load() != p.pauses.Count() {
 		time.Sleep(time.Millisecond)
 	}
 }
